--- a/choice/api.go
+++ b/choice/api.go
@@ -189,6 +189,7 @@
 	Node    NodeID        // Send, Probe
 	Attempt int           // Cancel
 	After   time.Duration // Send: its time-out, 0 for the client's; Refuse: when to retry, 0 for no advice; SetTimer
+	By      time.Duration // Send: clock time after which it must not be written any more; 0: none
 }
 
 type ActionKind uint8
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -614,7 +614,11 @@
 	q.tries = append(q.tries, attempt{n: n, at: r.now, pending: true, behind: r.crowd(n)})
 	r.book(n, 1)
 	q.out++
-	r.emit(Action{Kind: Send, Request: q.id, Node: n.ID})
+	var by time.Duration // Proof of freshness may run out while a connection is opened.
+	if q.class.Read == BoundedRead && n.role != Primary && r.set.StaleReads == StaleAnswered {
+		by = n.position + q.class.MaxAge
+	}
+	r.emit(Action{Kind: Send, Request: q.id, Node: n.ID, By: by})
 }
 
 // maySend keeps the rule on repeats and the attempts within their cap.
--- a/choice/example_test.go
+++ b/choice/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"walktrack/choice"
+	"capercove/choice"
 )
 
 // A host tells the router what happened, in batches, and does what it is told.
--- /dev/null
+++ b/cmd/capercove/main.go
@@ -0,0 +1,121 @@
+// Command capercove is one real pooler: clients and databases on sockets round the decisions of package choice.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"capercove/internal/config"
+	"capercove/internal/core"
+	"capercove/internal/discovery"
+	"capercove/internal/limits"
+	"capercove/internal/net"
+)
+
+func main() {
+	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
+	if err := run(log); err != nil {
+		fmt.Fprintln(os.Stderr, "capercove:", err)
+		os.Exit(1)
+	}
+}
+
+// program is the wired parts.
+type program struct {
+	log    zerolog.Logger
+	limits limits.Limits
+	driver *net.Driver
+	core   *core.Core
+	pool   *net.Pool
+	front  *net.Front
+}
+
+func run(log zerolog.Logger) error {
+	cfg, err := config.Load()
+	if err != nil {
+		return err
+	}
+	l := limits.For(cfg.Machine, cfg.Facts.Connect, cfg.Facts.Keepalive)
+	debug.SetMemoryLimit(l.MemoryBytes)
+	runtime.GOMAXPROCS(2) // One core, but the loop must not wait for a goroutine that sits in a system call.
+	log = log.With().Str("pooler", cfg.Name).Logger()
+
+	p := &program{log: log, limits: l}
+	p.driver = net.New(cfg.Listen, l, log, func() {
+		p.core.List(cfg.Known.Entries(cfg.Facts.Zones), true)
+		p.core.Start()
+	})
+	p.core = core.New(cfg.Settings, cfg.Seed, l, log, clock(), func() { p.driver.Do(p.core.Flush) })
+	p.pool = net.NewPool(p.driver, l, log, p.core)
+	p.front = net.NewFront(l, log, p.core, p.pool, cfg.Facts.Classes)
+	p.driver.Core, p.driver.Front, p.driver.Pool = p.core, p.front, p.pool
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	watch := discovery.New(ctx, cfg.Discovery, cfg.Known.Revision, l, log,
+		func(list discovery.List) {
+			p.driver.Do(func() { p.core.List(list.Entries(cfg.Facts.Zones), list.Complete) })
+		},
+		func() { p.driver.Do(p.core.ListFailed) })
+	p.core.Attach(watch, p.pool, p.pool)
+	go p.signals()
+	log.Info().Str("listen", cfg.Listen).Int("members", len(cfg.Known.Members)).Msg("starting")
+	if err := p.driver.Run(); err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	p.counters("stopped")
+	return nil
+}
+
+// clock counts from the Unix epoch, as positions do, but never jumps.
+func clock() func() time.Duration {
+	start := time.Now()
+	epoch := time.Duration(start.UnixNano())
+	return func() time.Duration { return epoch + time.Since(start) }
+}
+
+func (p *program) signals() {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	stopping := false
+	for s := range signals {
+		switch {
+		case s == syscall.SIGUSR1:
+			p.driver.Do(func() { p.counters("counters") })
+		case !stopping:
+			stopping = true
+			p.driver.Do(p.stop)
+		}
+	}
+}
+
+// stop finishes what was taken, then ends the program. New connections are served for a while, since a front
+// takes a moment to look elsewhere.
+func (p *program) stop() {
+	p.log.Info().Int("open", p.core.Open()).Msg("stopping")
+	p.front.Drain()
+	begun := p.core.Now()
+	var check func()
+	check = func() {
+		now := p.core.Now()
+		done := p.core.Open() == 0 && p.front.Idle()
+		if now >= begun+p.limits.Linger && done || now >= begun+p.limits.Stop {
+			p.driver.Stop()
+			return
+		}
+		p.core.Wheel.At(now+4*p.limits.Tick, check)
+	}
+	check()
+}
+
+func (p *program) counters(what string) {
+	p.log.Info().Interface("core", p.core.Count).Interface("front", p.front.Count).
+		Interface("pool", p.pool.Count).Int("open", p.core.Open()).Msg(what)
+}
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -8,8 +8,8 @@
 	"io"
 	"os"
 
-	"walktrack/choice"
-	"walktrack/internal/wire"
+	"capercove/choice"
+	"capercove/internal/wire"
 )
 
 func main() {
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,99 @@
+// Package config reads what the platform tells a pooler: GW_* and the JSON file that GW_CONFIG names. Every
+// error names the key at fault.
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+
+	"capercove/choice"
+	"capercove/internal/discovery"
+	"capercove/internal/limits"
+	"capercove/internal/wire"
+)
+
+// Config is what one pooler is started with.
+type Config struct {
+	Name, Listen, Discovery string
+	Seed                    uint64
+	Machine                 limits.Machine
+	Known                   discovery.List
+	Settings                choice.Settings
+	Facts                   wire.Facts
+}
+
+// Load reads the configuration. GW_NAME, GW_LISTEN and GW_DISCOVERY go before the file's values.
+func Load() (Config, error) {
+	var file struct {
+		Name      string `json:"name"`
+		Listen    string `json:"listen"`
+		Discovery string `json:"discovery"`
+		Seed      string `json:"seed"`
+		Limits    struct {
+			MemoryMB int `json:"memory_mb"`
+			Sockets  int `json:"sockets"`
+		} `json:"limits"`
+		Known    json.RawMessage `json:"known"`
+		Settings json.RawMessage `json:"settings"`
+	}
+	path := os.Getenv("GW_CONFIG")
+	if path == "" {
+		return Config{}, errors.New("GW_CONFIG is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("GW_CONFIG: %w", err)
+	}
+	if err := json.Unmarshal(text, &file); err != nil {
+		return Config{}, fmt.Errorf("GW_CONFIG: %s: %w", path, err)
+	}
+	c := Config{Machine: limits.Machine{MemoryMB: file.Limits.MemoryMB, Sockets: file.Limits.Sockets}}
+	for _, v := range []struct {
+		to        *string
+		env, file string
+		key       string
+		address   bool
+	}{
+		{&c.Name, "GW_NAME", file.Name, "name", false},
+		{&c.Listen, "GW_LISTEN", file.Listen, "listen", true},
+		{&c.Discovery, "GW_DISCOVERY", file.Discovery, "discovery", true},
+	} {
+		key := v.env
+		if *v.to = os.Getenv(v.env); *v.to == "" {
+			*v.to, key = v.file, v.key
+		}
+		if *v.to == "" {
+			return c, fmt.Errorf("%s: neither %s nor the file's %q is set", v.key, v.env, v.key)
+		}
+		if v.address {
+			if _, _, err := net.SplitHostPort(*v.to); err != nil {
+				return c, fmt.Errorf("%s: %w", key, err)
+			}
+		}
+	}
+	if c.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
+		return c, fmt.Errorf("seed: %w", err)
+	}
+	if c.Machine.MemoryMB < 16 {
+		return c, fmt.Errorf("limits.memory_mb: %d is under 16", c.Machine.MemoryMB)
+	}
+	if c.Machine.Sockets < 128 {
+		return c, fmt.Errorf("limits.sockets: %d is under 128", c.Machine.Sockets)
+	}
+	if len(file.Settings) == 0 {
+		return c, errors.New("settings: missing")
+	}
+	if c.Settings, c.Facts, err = wire.ParseSettings(file.Settings); err != nil {
+		return c, fmt.Errorf("settings: %w", err)
+	}
+	if len(file.Known) > 0 && string(file.Known) != "null" {
+		if c.Known, err = discovery.Parse(file.Known); err != nil {
+			return c, fmt.Errorf("known: %w", err)
+		}
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,389 @@
+// Package core runs the decisions of package choice for requests of any wire. It knows no socket and no
+// protocol: fronts submit requests and get one final answer each; backends carry attempts and report how they
+// ended. One goroutine owns a Core and calls everything in it.
+package core
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"capercove/choice"
+	"capercove/internal/limits"
+	"capercove/internal/wheel"
+)
+
+// Client gets the one final answer of a request.
+type Client interface {
+	Served(answer any)           // what the backend reported with the attempt
+	Refused(after time.Duration) // trying again is harmless, after so long
+	Failed(timedOut bool)
+}
+
+// Backend carries attempts to databases over one wire.
+type Backend interface {
+	Send(*Attempt)   // ends with Core.Done, unless cancelled
+	Cancel(*Attempt) // no report follows
+}
+
+// Prober asks a database for its report; each call ends with Core.Probed.
+type Prober interface{ Probe(*Member) }
+
+// Lister keeps the member list coming: each call ends with Core.List or Core.ListFailed.
+type Lister interface{ Subscribe() }
+
+// Watcher is told of every change of a member before anything is sent under it.
+type Watcher interface{ Changed(*Member) }
+
+// Member is a database of the list.
+type Member struct {
+	choice.Node
+	Name, Addr string
+}
+
+// Request is what a client asks. The front fills in the exported fields.
+type Request struct {
+	Class, Group int
+	Session      uint64
+	Expires      time.Duration // from now until the client quits
+	LastWrite    time.Duration // clock time of the session's last commit; 0: none
+	Payload      any           // for the backend
+	Backend      Backend
+	Client       Client
+
+	id       choice.RequestID
+	deadline time.Duration
+	attempts []*Attempt
+	out      int
+	began    *Attempt // the attempt whose answer is already on its way to the client
+	done     bool
+	guard    *wheel.Timer
+}
+
+// Attempt is one send of a request to a database.
+type Attempt struct {
+	Request *Request
+	Member  *Member
+	Until   time.Duration // it is waited for until then
+	By      time.Duration // it must not be written later than this; 0: at any time
+	Handle  any           // the backend's own
+
+	number int
+	sent   time.Duration
+	timer  *wheel.Timer
+	done   bool
+}
+
+// Counters count what the core took in, sent and answered.
+type Counters struct {
+	Taken, Served, Refused, Failed, Gone, Overdue    int64
+	Attempts, Cancelled, Probes, Lists, ListsFailed  int64
+	Outcomes                                         [choice.TurnedAway + 1]int64
+	ProbesFailed, Batches, Events, LateEvents, Stops int64
+}
+
+// Core owns the router, the tables and the timers.
+type Core struct {
+	Wheel *wheel.Wheel
+	Count Counters
+
+	limits   limits.Limits
+	log      zerolog.Logger
+	clock    func() time.Duration
+	wake     func() // asks for a Flush soon
+	awake    bool
+	router   *choice.Router
+	lister   Lister
+	prober   Prober
+	watchers []Watcher
+	classes  []choice.Class
+	members  map[choice.NodeID]*Member
+	requests map[choice.RequestID]*Request
+	last     choice.RequestID
+	events   []choice.Event
+	actions  []choice.Action
+}
+
+// New returns a core. The clock must be monotonic; it counts from the Unix epoch, as positions do.
+func New(s choice.Settings, seed uint64, l limits.Limits, log zerolog.Logger, clock func() time.Duration,
+	wake func()) *Core {
+	return &Core{Wheel: wheel.New(l.Tick, l.Slots, clock()), limits: l, log: log, clock: clock, wake: wake,
+		router: choice.New(s, seed), classes: s.Classes, members: map[choice.NodeID]*Member{},
+		requests: map[choice.RequestID]*Request{}}
+}
+
+// Attach names who lists, who probes and who is told of members. It comes before the first event.
+func (c *Core) Attach(lister Lister, prober Prober, watchers ...Watcher) {
+	c.lister, c.prober, c.watchers = lister, prober, watchers
+}
+
+func (c *Core) Now() time.Duration { return c.clock() }
+
+// Open is how many requests await their answer.
+func (c *Core) Open() (n int) {
+	for _, q := range c.requests {
+		if !q.done {
+			n++
+		}
+	}
+	return n
+}
+
+// Class returns the settings of a request's class.
+func (c *Core) Class(i int) *choice.Class { return &c.classes[i] }
+
+// HasGroup tells whether any list has named a database of the group.
+func (c *Core) HasGroup(group int) bool {
+	for _, m := range c.members {
+		if m.Group == group {
+			return true
+		}
+	}
+	return len(c.members) == 0 // before the first list none is known to be wrong
+}
+
+func (c *Core) push(e choice.Event) {
+	c.events = append(c.events, e)
+	if !c.awake {
+		c.awake = true
+		c.wake()
+	}
+}
+
+// ---- From the fronts
+
+// Submit takes a request. The answer may come before Submit returns only if there are too many open.
+func (c *Core) Submit(q *Request) {
+	c.Count.Taken++
+	if len(c.requests) >= c.limits.Requests { // Against tables without bound.
+		q.done = true
+		c.Count.Refused++
+		q.Client.Refused(0)
+		return
+	}
+	c.last++
+	q.id = c.last
+	expires := max(q.Expires-c.limits.Margin, 0)
+	q.deadline = c.clock() + expires
+	c.requests[q.id] = q
+	// Against a request without an answer, whatever the router or a backend forgets.
+	q.guard = c.Wheel.At(q.deadline+c.limits.Overdue, func() {
+		if !q.done {
+			c.Count.Overdue++
+			c.log.Error().Uint64("request", uint64(q.id)).Msg("no answer by the deadline")
+			c.finish(q)
+			c.Count.Failed++
+			q.Client.Failed(true)
+			c.push(choice.Event{Kind: choice.ClientGone, Request: q.id})
+		}
+	})
+	c.push(choice.Event{Kind: choice.RequestArrived, Request: q.id, Arrival: choice.Arrival{Class: q.Class,
+		Group: q.Group, Session: q.Session, Expires: expires, LastWrite: q.LastWrite}})
+}
+
+// Leave tells that the client has gone. Nothing is owed any more; attempts still out are ended.
+func (c *Core) Leave(q *Request) {
+	if q.done {
+		return
+	}
+	c.Count.Gone++
+	c.finish(q)
+	c.push(choice.Event{Kind: choice.ClientGone, Request: q.id})
+}
+
+func (c *Core) finish(q *Request) {
+	q.done = true
+	q.guard.Stop()
+	c.forget(q)
+}
+
+func (c *Core) forget(q *Request) {
+	if q.done && q.out == 0 {
+		delete(c.requests, q.id)
+	}
+}
+
+// ---- From the backends
+
+// Began tells that the answer of an attempt starts to reach the client: from now on no other attempt can answer
+// the request. It returns false if the request is over and nothing may be passed on.
+func (c *Core) Began(a *Attempt) bool {
+	q := a.Request
+	if a.done || q.done {
+		return false
+	}
+	q.began = a
+	return true
+}
+
+// Done ends an attempt. With OK the answer goes to the client, if the request is not over.
+func (c *Core) Done(a *Attempt, status choice.Status, note choice.Evidence, answer any) {
+	if a.done {
+		return
+	}
+	q := a.Request
+	a.done = true
+	a.timer.Stop()
+	q.out--
+	c.Count.Outcomes[status]++
+	if !q.done {
+		switch {
+		case status == choice.OK:
+			c.finish(q)
+			c.Count.Served++
+			q.Client.Served(answer)
+		case q.began != nil: // Against an answer cut halfway being sent again, or shown as whole.
+			c.finish(q)
+			c.Count.Failed++
+			q.Client.Failed(status == choice.TimedOut)
+		}
+	}
+	c.push(choice.Event{Kind: choice.AttemptDone, Request: q.id, Outcome: choice.Outcome{Node: a.Member.ID,
+		Attempt: a.number, Status: status, Took: c.clock() - a.sent, Final: q.done, Note: note}})
+	c.forget(q)
+}
+
+// Probed ends a probe.
+func (c *Core) Probed(m *Member, status choice.Status, took time.Duration, report choice.Evidence) {
+	if status != choice.OK {
+		c.Count.ProbesFailed++
+	}
+	c.push(choice.Event{Kind: choice.ProbeDone, Outcome: choice.Outcome{Node: m.ID, Status: status, Took: took,
+		Report: report}})
+}
+
+// ---- From discovery
+
+// List takes in the whole list, or the entries that changed.
+func (c *Core) List(entries []Member, full bool) {
+	c.Count.Lists++
+	nodes := make([]choice.Node, 0, len(entries))
+	listed := map[choice.NodeID]bool{}
+	for _, e := range entries {
+		listed[e.ID] = true
+		nodes = append(nodes, e.Node)
+		c.change(e)
+	}
+	if full {
+		for id, m := range c.members {
+			if !listed[id] && m.State != choice.Gone {
+				gone := *m
+				gone.State = choice.Gone
+				c.change(gone)
+			}
+		}
+	}
+	kind := choice.ListChange
+	if full {
+		kind = choice.ListFull
+	}
+	c.push(choice.Event{Kind: kind, Nodes: nodes})
+}
+
+func (c *Core) change(e Member) {
+	m := c.members[e.ID]
+	if m == nil {
+		m = &Member{}
+		c.members[e.ID] = m
+	}
+	*m = e
+	for _, w := range c.watchers {
+		w.Changed(m)
+	}
+}
+
+// ListFailed tells that a call for the list failed or that the watch broke.
+func (c *Core) ListFailed() {
+	c.Count.ListsFailed++
+	c.push(choice.Event{Kind: choice.ListFailed})
+}
+
+// ---- Time and decisions
+
+// Tick fires the timers that are due.
+func (c *Core) Tick() { c.Wheel.Advance(c.clock()) }
+
+// Start gives the router its first turn; from then on its own timers drive it.
+func (c *Core) Start() { c.push(choice.Event{Kind: choice.TimerFired}) }
+
+// Flush hands the router what has come in and carries out what it decides.
+func (c *Core) Flush() {
+	c.awake = false
+	if len(c.events) == 0 {
+		return
+	}
+	events := c.events
+	c.events = nil
+	c.Count.Batches++
+	c.Count.Events += int64(len(events))
+	c.actions = c.router.Step(c.clock(), events, c.actions[:0])
+	for _, a := range c.actions {
+		c.act(a)
+	}
+}
+
+func (c *Core) act(a choice.Action) {
+	switch a.Kind {
+	case choice.Subscribe:
+		c.lister.Subscribe()
+		return
+	case choice.SetTimer:
+		c.Wheel.At(c.clock()+a.After, func() { c.push(choice.Event{Kind: choice.TimerFired}) })
+		return
+	case choice.Probe:
+		c.Count.Probes++
+		c.prober.Probe(c.members[a.Node])
+		return
+	}
+	q := c.requests[a.Request]
+	if q == nil {
+		return // over, and nothing is out for it
+	}
+	switch a.Kind {
+	case choice.Send:
+		c.send(q, a)
+	case choice.Cancel:
+		c.cancel(q.attempts[a.Attempt], choice.Cancelled)
+	case choice.Refuse, choice.Fail:
+		if q.done {
+			return
+		}
+		c.finish(q)
+		if a.Kind == choice.Refuse && q.began == nil {
+			c.Count.Refused++
+			q.Client.Refused(a.After)
+		} else {
+			c.Count.Failed++
+			q.Client.Failed(c.clock() >= q.deadline)
+		}
+	}
+}
+
+func (c *Core) send(q *Request, a choice.Action) {
+	now := c.clock()
+	try := &Attempt{Request: q, Member: c.members[a.Node], Until: q.deadline, By: a.By, number: len(q.attempts),
+		sent: now}
+	if a.After > 0 {
+		try.Until = min(try.Until, now+a.After)
+	}
+	q.attempts = append(q.attempts, try)
+	q.out++
+	if q.done || q.began != nil {
+		c.Done(try, choice.NotSent, choice.Evidence{}, nil)
+		return
+	}
+	c.Count.Attempts++
+	// Against peers that are cut off and never close.
+	try.timer = c.Wheel.At(try.Until, func() { c.cancel(try, choice.TimedOut) })
+	q.Backend.Send(try)
+}
+
+// cancel ends the wait on an attempt: its connection is closed before anything else is sent for the request.
+func (c *Core) cancel(a *Attempt, status choice.Status) {
+	if a.done {
+		return
+	}
+	c.Count.Cancelled++
+	a.Request.Backend.Cancel(a)
+	c.Done(a, status, choice.Evidence{}, nil)
+}
--- /dev/null
+++ b/internal/limits/limits.go
@@ -0,0 +1,71 @@
+// Package limits holds every size, count and time that bounds the program. One Limits is filled at start and
+// handed down; no other package has bounds of its own.
+package limits
+
+import "time"
+
+// Limits bounds what the program holds and how long it waits.
+type Limits struct {
+	MemoryBytes  int64 // the collector is told to stay under this
+	Clients      int   // client connections; a further one is turned away
+	Servers      int   // connections to databases, dials included
+	IdleEach     int   // idle connections kept to one database
+	Requests     int   // requests open at once; a further one is refused
+	Pipeline     int   // commands of one client connection that await their answers
+	MessageBytes int   // longest message taken from a client or a database
+	OutputBytes  int   // answers that a client may leave unread before it is closed
+	Members      int   // entries of a list
+	ListBytes    int   // one list, or one line of a watch
+
+	Tick           time.Duration // of the timer wheel
+	Slots          int           // of the timer wheel
+	Margin         time.Duration // taken off a client's deadline, for the way back
+	Overdue        time.Duration // a request unanswered this long after its deadline is failed by the core
+	ConnectTimeout time.Duration // a database's connection is up by then, or counts as not to be had
+	ProbeTimeout   time.Duration
+	ServerIdle     time.Duration // connections to databases idle this long are closed
+	Startup        time.Duration // a client's connection has started by then
+	WatchAnswer    time.Duration // discovery's answer begins by then
+	WatchSilence   time.Duration // a watch that is silent this long is broken
+	Linger         time.Duration // after SIGTERM new connections are served for this long
+	Stop           time.Duration // after SIGTERM the program ends by then at the latest
+	LogEvery       time.Duration // at most one line a kind of bad input in this time
+}
+
+// Machine is what the platform grants.
+type Machine struct {
+	MemoryMB int
+	Sockets  int
+}
+
+// For returns the limits on a machine, for databases that take this long to connect and close connections that
+// are idle for keepalive. A dial holds two descriptors for a moment, hence the reserve.
+func For(m Machine, connect, keepalive time.Duration) Limits {
+	sockets := max(64, m.Sockets-64)
+	return Limits{
+		MemoryBytes:  int64(m.MemoryMB) << 20 * 6 / 10,
+		Clients:      sockets * 6 / 10,
+		Servers:      sockets * 3 / 10,
+		IdleEach:     24,
+		Requests:     20000,
+		Pipeline:     32,
+		MessageBytes: 256 << 10,
+		OutputBytes:  1 << 20,
+		Members:      4096,
+		ListBytes:    4 << 20,
+
+		Tick:           5 * time.Millisecond,
+		Slots:          1024,
+		Margin:         5 * time.Millisecond,
+		Overdue:        20 * time.Millisecond,
+		ConnectTimeout: connect,
+		ProbeTimeout:   connect,
+		ServerIdle:     keepalive * 3 / 4,
+		Startup:        10 * time.Second,
+		WatchAnswer:    2500 * time.Millisecond,
+		WatchSilence:   5 * time.Second,
+		Linger:         750 * time.Millisecond,
+		Stop:           12 * time.Second,
+		LogEvery:       time.Second,
+	}
+}
--- /dev/null
+++ b/internal/net/front.go
@@ -0,0 +1,254 @@
+package net
+
+import (
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"github.com/rs/zerolog"
+
+	"capercove/choice"
+	"capercove/internal/core"
+	"capercove/internal/limits"
+	"capercove/internal/pg"
+)
+
+// Front serves the clients of the PostgreSQL wire.
+type Front struct {
+	Count FrontCounters
+
+	limits   limits.Limits
+	log      zerolog.Logger
+	core     *core.Core
+	backend  core.Backend
+	classes  map[string]int
+	clients  map[*client]struct{}
+	draining bool
+	logged   map[string]time.Duration // when each kind of bad input was last logged
+}
+
+// FrontCounters count the clients' connections and what came in on them.
+type FrontCounters struct {
+	Accepted, TurnedAway, Closed, Commands, Bad int64
+}
+
+// NewFront returns a front for classes of these names.
+func NewFront(l limits.Limits, log zerolog.Logger, c *core.Core, b core.Backend, classes []string) *Front {
+	f := &Front{limits: l, log: log, core: c, backend: b, classes: map[string]int{},
+		clients: map[*client]struct{}{}, logged: map[string]time.Duration{}}
+	for i, name := range classes {
+		f.classes[name] = i
+	}
+	return f
+}
+
+// client is one client connection. Answers wait in slots for those before them.
+type client struct {
+	front   *Front
+	conn    gnet.Conn
+	session *pg.Session
+	slots   []*slot
+	startup interface{ Stop() }
+	ending  bool // nothing more is read
+	gone    bool
+}
+
+// slot holds the place of one answer.
+type slot struct {
+	client  *client
+	request *core.Request // nil for a ready-made answer
+	answer  []byte
+	ready   bool
+	last    bool // the connection ends behind it
+}
+
+func (f *Front) accept(c gnet.Conn) *client {
+	k := &client{front: f, conn: c, session: pg.NewSession(f.limits.MessageBytes)}
+	if len(f.clients) >= f.limits.Clients { // Against running out of descriptors.
+		f.Count.TurnedAway++
+		k.ending, k.gone = true, true
+		c.Write(pg.AppendError(nil, "FATAL", pg.CodeFull, "too many connections", ""))
+		c.Close()
+		return k
+	}
+	f.Count.Accepted++
+	f.clients[k] = struct{}{}
+	// Against connections that are opened and never used.
+	k.startup = f.core.Wheel.At(f.core.Now()+f.limits.Startup, func() {
+		if !k.session.Started() {
+			closeNow(c)
+		}
+	})
+	return k
+}
+
+func (k *client) traffic(data []byte) {
+	if k.ending {
+		return
+	}
+	k.session.Feed(data)
+	k.read()
+}
+
+func (k *client) read() {
+	for !k.ending && len(k.slots) < k.front.limits.Pipeline {
+		command, ok := k.session.Next()
+		if !ok {
+			break
+		}
+		k.command(command)
+	}
+	// Against a client that sends on and on behind a full pipeline.
+	if !k.ending && len(k.slots) >= k.front.limits.Pipeline && k.session.Held() > 2*k.front.limits.MessageBytes {
+		k.front.bad("more queries than may wait")
+		closeNow(k.conn)
+		return
+	}
+	k.flush()
+}
+
+func (k *client) command(c pg.Command) {
+	f := k.front
+	f.Count.Commands++
+	s := &slot{client: k, answer: c.Reply, ready: true, last: c.Close}
+	k.slots = append(k.slots, s)
+	k.ending = c.Close
+	if c.Bad != "" {
+		f.bad(c.Bad)
+	}
+	if c.Query == "" {
+		return
+	}
+	q, err := pg.ParseQuery(c.Query)
+	class, known := f.classes[q.Class]
+	switch {
+	case pg.Harmless(c.Query):
+		s.answer = pg.AppendReady(pg.AppendComplete(nil, c.Query))
+	case err != nil:
+		s.answer = pg.AppendFailure(nil, pg.CodeSyntax, err.Error())
+		f.bad(err.Error())
+	case !known:
+		s.answer = pg.AppendFailure(nil, pg.CodeBadValue, "unknown class")
+		f.bad("unknown class")
+	case !q.HasGroup:
+		s.answer = pg.AppendFailure(nil, pg.CodeBadValue, "no cluster is named")
+		f.bad("no cluster is named")
+	case !f.core.HasGroup(q.Group):
+		s.answer = pg.AppendFailure(nil, pg.CodeBadValue, "unknown cluster")
+		f.bad("unknown cluster")
+	default:
+		s.ready = false
+		s.request = &core.Request{Class: class, Group: q.Group, Expires: q.Wait, LastWrite: q.After,
+			Payload: &q, Backend: f.backend, Client: s}
+		if kind := f.core.Class(class).Read; kind == choice.Write || kind == choice.SessionRead {
+			s.request.Session = q.Key
+		}
+		f.core.Submit(s.request)
+	}
+}
+
+// bad logs bad input, at most one line a kind and period.
+func (f *Front) bad(why string) {
+	f.Count.Bad++
+	now := f.core.Now()
+	if last, seen := f.logged[why]; seen && now-last < f.limits.LogEvery {
+		return
+	}
+	f.logged[why] = now
+	f.log.Warn().Str("why", why).Int64("so_far", f.Count.Bad).Msg("bad input")
+}
+
+// Served passes on the value as the database gave it.
+func (s *slot) Served(answer any) { s.set(pg.AppendReady(answer.([]byte))) }
+
+func (s *slot) Refused(after time.Duration) { s.set(pg.AppendRefusal(nil, after)) }
+
+func (s *slot) Failed(timedOut bool) {
+	if timedOut {
+		s.set(pg.AppendFailure(nil, pg.CodeQueryCanceled, "no answer in time; it may have run"))
+	} else {
+		s.set(pg.AppendFailure(nil, pg.CodeSystemError, "failed; it may have run"))
+	}
+}
+
+func (s *slot) set(answer []byte) {
+	s.answer, s.ready = answer, true
+	if len(s.client.slots) > 0 && s.client.slots[0] == s {
+		s.client.read() // which flushes, and reads on if the pipeline was full
+	}
+}
+
+// flush writes the answers whose turn has come.
+func (k *client) flush() {
+	var out []byte
+	last := false
+	for len(k.slots) > 0 && k.slots[0].ready && !last {
+		out = append(out, k.slots[0].answer...)
+		last = k.slots[0].last
+		k.slots = k.slots[1:]
+	}
+	if k.gone {
+		return
+	}
+	if len(out) > 0 {
+		k.conn.Write(out)
+	}
+	switch {
+	case k.gone: // the write found it closed
+	case last || k.front.draining && k.idle():
+		k.end()
+	case k.conn.OutboundBuffered() > k.front.limits.OutputBytes: // Against a client that does not read.
+		k.front.bad("answers are not read")
+		closeNow(k.conn)
+	}
+}
+
+// idle tells whether the connection is between requests: nothing owed, nothing unread.
+func (k *client) idle() bool {
+	return len(k.slots) == 0 && k.session.Started() && k.session.Held() == 0 && silent(k.conn)
+}
+
+// end closes the connection once all that was written has gone out.
+func (k *client) end() {
+	k.ending = true
+	if k.conn.OutboundBuffered() == 0 {
+		closeNow(k.conn)
+	} else {
+		k.conn.Close()
+	}
+}
+
+func (k *client) closed(error) {
+	if k.gone {
+		return
+	}
+	k.gone, k.ending = true, true
+	k.startup.Stop()
+	k.front.Count.Closed++
+	delete(k.front.clients, k)
+	for _, s := range k.slots {
+		if s.request != nil && !s.ready {
+			k.front.core.Leave(s.request)
+		}
+	}
+	k.slots = nil
+}
+
+// Drain closes connections that are between requests, and each other one as soon as it is.
+func (f *Front) Drain() {
+	f.draining = true
+	for k := range f.clients {
+		if k.idle() {
+			k.end()
+		}
+	}
+}
+
+// Idle tells whether no client is owed an answer or has sent what is yet to be read.
+func (f *Front) Idle() bool {
+	for k := range f.clients {
+		if k.session.Started() && !k.idle() || k.conn.OutboundBuffered() > 0 {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/net/pool.go
@@ -0,0 +1,477 @@
+package net
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"github.com/rs/zerolog"
+
+	"capercove/choice"
+	"capercove/internal/core"
+	"capercove/internal/limits"
+	"capercove/internal/pg"
+	"capercove/internal/wheel"
+)
+
+// Pool carries attempts and probes to databases over the PostgreSQL wire. It implements core.Backend,
+// core.Prober and core.Watcher.
+type Pool struct {
+	Count PoolCounters
+
+	driver  *Driver
+	limits  limits.Limits
+	log     zerolog.Logger
+	core    *core.Core
+	servers map[choice.NodeID]*server
+	links   int // open and dialled, over all servers
+}
+
+// PoolCounters count connections to databases.
+type PoolCounters struct {
+	Dials, DialsFailed, Reused, Stale, Expired, Evicted, TooLate, Capped, BadReplies int64
+}
+
+// server is one database.
+type server struct {
+	member  *core.Member
+	addr    string
+	idle    []*link // the last one was used last
+	waiting []*job
+	links   map[*link]struct{}
+	dialing int
+}
+
+// job is an attempt or, with no attempt, a probe.
+type job struct {
+	server  *server
+	attempt *core.Attempt
+	asked   time.Duration
+	timer   *wheel.Timer
+	link    *link // that carries it
+}
+
+// link is one connection to a database.
+type link struct {
+	pool   *Pool
+	server *server
+	addr   string
+	conn   gnet.Conn
+	pg     *pg.Link
+	ready  bool // the startup is over
+	writes bool // a statement is being written
+	dead   bool
+	job    *job
+	used   time.Duration
+	timer  *wheel.Timer
+	cancel context.CancelFunc // of the dial
+}
+
+func NewPool(d *Driver, l limits.Limits, log zerolog.Logger, c *core.Core) *Pool {
+	p := &Pool{driver: d, limits: l, log: log, core: c, servers: map[choice.NodeID]*server{}}
+	p.expire()
+	return p
+}
+
+// Changed keeps idle connections and queued dials off databases that are gone, restarted or elsewhere.
+func (p *Pool) Changed(m *core.Member) {
+	s := p.servers[m.ID]
+	if s == nil {
+		s = &server{member: m, addr: m.Addr, links: map[*link]struct{}{}}
+		p.servers[m.ID] = s
+	}
+	if m.State == choice.Gone || m.Addr != s.addr {
+		for len(s.idle) > 0 {
+			s.idle[0].close()
+		}
+		for l := range s.links {
+			if !l.ready {
+				l.close()
+			}
+		}
+	}
+	if m.Addr != "" {
+		s.addr = m.Addr
+	}
+}
+
+// ---- Attempts and probes
+
+// Send begins an attempt.
+func (p *Pool) Send(a *core.Attempt) {
+	j := &job{server: p.servers[a.Member.ID], attempt: a, asked: p.core.Now()}
+	a.Handle = j
+	p.begin(j)
+}
+
+// Cancel ends an attempt: its connection is closed, which tells the database.
+func (p *Pool) Cancel(a *core.Attempt) {
+	if j, ok := a.Handle.(*job); ok {
+		p.drop(j)
+	}
+}
+
+// Probe asks for a load report.
+func (p *Pool) Probe(m *core.Member) {
+	j := &job{server: p.servers[m.ID], asked: p.core.Now()}
+	p.begin(j)
+}
+
+func (p *Pool) begin(j *job) {
+	s := j.server
+	for n := len(s.idle); n > 0; n = len(s.idle) {
+		l := s.idle[n-1]
+		if l.fit() {
+			s.idle = s.idle[:n-1]
+			p.Count.Reused++
+			l.carry(j)
+			return
+		}
+		p.Count.Stale++
+		l.close()
+	}
+	s.waiting = append(s.waiting, j)
+	j.timer = p.core.Wheel.At(j.asked+p.limits.ConnectTimeout, func() {
+		p.drop(j)
+		p.finish(j, choice.NoConnect, nil)
+	})
+	if s.dialing < len(s.waiting) {
+		p.dial(s)
+	}
+}
+
+// drop takes a job back, wherever it is.
+func (p *Pool) drop(j *job) {
+	j.timer.Stop()
+	if l := j.link; l != nil {
+		l.job, j.link = nil, nil
+		l.close()
+	}
+	j.server.unqueue(j)
+}
+
+func (s *server) unqueue(j *job) {
+	for i, w := range s.waiting {
+		if w == j {
+			s.waiting = append(s.waiting[:i], s.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
+// finish reports how a job ended.
+func (p *Pool) finish(j *job, status choice.Status, r *pg.Reply) {
+	j.timer.Stop()
+	j.link = nil
+	now := p.core.Now()
+	if j.attempt == nil {
+		var report choice.Evidence
+		if r != nil && status == choice.OK {
+			report = evidence(pg.ParseReport(string(r.Value)))
+		}
+		p.core.Probed(j.server.member, status, now-j.asked, report)
+		return
+	}
+	var note choice.Evidence
+	var rows []byte
+	if r != nil {
+		note.Position, rows = r.Position, r.Rows
+		switch r.Mode {
+		case "read-write":
+			note.Role = choice.Primary
+		case "read-only":
+			note.Role = choice.Replica
+		}
+	}
+	p.core.Done(j.attempt, status, note, rows)
+}
+
+// evidence reads a report. Positions are rounded down, so that none is overstated.
+func evidence(report map[string]float64) (e choice.Evidence) {
+	if at, ok := report["x0"]; ok && at > 0 && at < 1<<33 {
+		e.Position = time.Duration(at*1000) * time.Millisecond
+	}
+	if role, ok := report["x1"]; ok {
+		e.Role = choice.Replica
+		if role == 1 {
+			e.Role = choice.Primary
+		}
+	}
+	return e
+}
+
+// status tells what a reply means for an attempt.
+func status(r *pg.Reply) choice.Status {
+	switch r.Code {
+	case "":
+		if r.Complete {
+			return choice.OK
+		}
+		return choice.NodeError
+	case pg.CodeReadOnly, pg.CodeTooFarBehind:
+		return choice.TurnedAway
+	case pg.CodeFull:
+		return choice.NodeFull
+	}
+	return choice.NodeError
+}
+
+// ---- Connections
+
+// dial opens a connection for the jobs that wait.
+func (p *Pool) dial(s *server) {
+	if p.links >= p.limits.Servers && !p.evict() { // Against running out of descriptors.
+		p.Count.Capped++
+		j := s.waiting[len(s.waiting)-1]
+		s.unqueue(j)
+		p.finish(j, choice.NotSent, nil)
+		return
+	}
+	p.Count.Dials++
+	p.links++
+	s.dialing++
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &link{pool: p, server: s, addr: s.addr, pg: pg.NewLink(p.limits.MessageBytes), cancel: cancel}
+	s.links[l] = struct{}{}
+	// Against an address that never answers, and a startup that is never finished.
+	l.timer = p.core.Wheel.At(p.core.Now()+p.limits.ConnectTimeout, func() {
+		p.Count.DialsFailed++
+		l.close()
+		if s.dialing < len(s.waiting) { // for a job that came later
+			p.dial(s)
+		}
+	})
+	addr, loop := s.addr, p.driver.loop
+	// gnet's own Register dials with no time-out and cannot be cancelled; Enroll takes a connection as it is.
+	go func() {
+		c, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+		if err == nil {
+			var opened <-chan gnet.RegisteredResult
+			if opened, err = loop.Enroll(gnet.NewContext(context.Background(), l), c); err == nil {
+				err = (<-opened).Err
+			}
+		}
+		if err != nil {
+			p.driver.Do(func() {
+				if !l.dead {
+					p.refused(l)
+				}
+			})
+		}
+	}()
+}
+
+// refused takes a connection out that did not come up. The job that has waited longest has lost its turn.
+func (p *Pool) refused(l *link) {
+	p.Count.DialsFailed++
+	s := l.server
+	l.close()
+	if len(s.waiting) > 0 {
+		j := s.waiting[0]
+		s.unqueue(j)
+		p.finish(j, choice.NoConnect, nil)
+	}
+}
+
+// evict closes the idle connection that was used least lately.
+func (p *Pool) evict() bool {
+	var oldest *link
+	for _, s := range p.servers {
+		if len(s.idle) > 0 && (oldest == nil || s.idle[0].used < oldest.used) {
+			oldest = s.idle[0]
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	p.Count.Evicted++
+	oldest.close()
+	return true
+}
+
+// expire closes connections that have been idle for long: a database closes them too, and a request that
+// crosses that would be lost.
+func (p *Pool) expire() {
+	now := p.core.Now()
+	for _, s := range p.servers {
+		for len(s.idle) > 0 && now-s.idle[0].used > p.limits.ServerIdle {
+			p.Count.Expired++
+			s.idle[0].close()
+		}
+	}
+	p.core.Wheel.At(now+p.limits.ServerIdle/16, p.expire)
+}
+
+// fit tells whether an idle connection may carry a request. Against one that the database has closed, or is
+// about to: a write on it would be lost without anyone knowing whether it ran.
+func (l *link) fit() bool {
+	return l.pool.core.Now()-l.used < l.pool.limits.ServerIdle && l.addr == l.server.addr && silent(l.conn)
+}
+
+// opened starts a connection that has come up.
+func (l *link) opened(c gnet.Conn) []byte {
+	l.conn = c
+	if l.dead { // given up while the loop was taking it in
+		c.Close()
+		return nil
+	}
+	return pg.AppendStartup(nil, "capercove", "core")
+}
+
+// carry writes a job's statement.
+func (l *link) carry(j *job) {
+	p := l.pool
+	now := p.core.Now()
+	a := j.attempt
+	if a != nil && a.By > 0 && now > a.By { // Against a read sent on a proof that has run out meanwhile.
+		p.Count.TooLate++
+		l.free()
+		p.finish(j, choice.NotSent, nil)
+		return
+	}
+	j.timer.Stop()
+	l.job, j.link = j, l
+	if a == nil {
+		j.timer = p.core.Wheel.At(now+p.limits.ProbeTimeout, func() {
+			p.drop(j)
+			p.finish(j, choice.TimedOut, nil)
+		})
+		l.write(pg.AppendQuery(nil, "SHOW stats"))
+		return
+	}
+	l.write(a.Request.Payload.(*pg.Query).AppendFor(nil, a.Until-now))
+}
+
+// write may find the connection broken, and then has called closed before it returns.
+func (l *link) write(statement []byte) {
+	l.writes = true
+	l.conn.Write(statement)
+	l.writes = false
+}
+
+// free makes a connection carry the next job, or idle.
+func (l *link) free() {
+	s := l.server
+	l.used = l.pool.core.Now()
+	switch {
+	case l.dead:
+	case s.member.State == choice.Gone || l.addr != s.addr:
+		l.close()
+	case len(s.waiting) > 0:
+		j := s.waiting[0]
+		s.unqueue(j)
+		l.carry(j)
+	case len(s.idle) >= l.pool.limits.IdleEach:
+		l.close()
+	default:
+		s.idle = append(s.idle, l)
+	}
+}
+
+func (l *link) traffic(data []byte) {
+	if l.dead {
+		return
+	}
+	replies, err := l.pg.Feed(data)
+	for i := range replies {
+		l.reply(&replies[i])
+		if l.dead {
+			return
+		}
+	}
+	if err != nil {
+		l.pool.Count.BadReplies++
+		l.pool.log.Warn().Err(err).Str("database", l.server.member.Name).Msg("bad reply")
+		l.broken()
+	}
+}
+
+func (l *link) reply(r *pg.Reply) {
+	p := l.pool
+	switch {
+	case !l.ready && r.Code != "":
+		p.refused(l)
+	case !l.ready:
+		l.timer.Stop()
+		l.ready = true
+		l.server.dialing--
+		l.free()
+	case l.job == nil: // It speaks unasked: a notice of its end.
+		l.close()
+	default:
+		j := l.job
+		l.job = nil
+		result := status(r)
+		if j.attempt == nil && r.Code == pg.CodeNotNow {
+			result = choice.NodeFull
+		}
+		if r.Fatal {
+			l.close()
+		} else {
+			l.free()
+		}
+		p.finish(j, result, r)
+	}
+}
+
+// broken ends a connection that failed under what it carried.
+func (l *link) broken() {
+	j := l.job
+	l.job = nil
+	if !l.ready {
+		l.pool.refused(l)
+		return
+	}
+	l.close()
+	if j == nil {
+		return
+	}
+	if r := l.pg.Partial(); r.Complete { // The whole answer had come.
+		l.pool.finish(j, choice.OK, &r)
+		return
+	}
+	l.pool.finish(j, choice.BrokenOff, nil)
+}
+
+// closed is told by the driver, also of closes of our own.
+func (l *link) closed(err error) {
+	if l.dead {
+		return
+	}
+	unsent := l.writes || l.conn.OutboundBuffered() > 0 &&
+		(errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE))
+	if l.job != nil && unsent { // The connection broke before the last byte was written: it never ran.
+		j := l.job
+		l.job = nil
+		l.close()
+		l.pool.finish(j, choice.NoConnect, nil)
+		return
+	}
+	l.broken()
+}
+
+// close takes a connection out of the pool and closes it.
+func (l *link) close() {
+	if l.dead {
+		return
+	}
+	l.dead = true
+	l.timer.Stop()
+	l.cancel()
+	l.pool.links--
+	s := l.server
+	delete(s.links, l)
+	if !l.ready {
+		s.dialing--
+	}
+	for i, o := range s.idle {
+		if o == l {
+			s.idle = append(s.idle[:i], s.idle[i+1:]...)
+			break
+		}
+	}
+	closeNow(l.conn)
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"walktrack/choice"
+	"capercove/choice"
 )
 
 // settings is the JSON text of the first message, as far as it is used; other keys are skipped.
@@ -15,9 +15,11 @@
 	Projects []struct {
 		Quota float64 `json:"quotaPerS"`
 	} `json:"projects"`
-	OverShare  float64 `json:"overShareWorth"`
-	Membership string  `json:"membershipMode"`
+	OverShare  float64  `json:"overShareWorth"`
+	Membership string   `json:"membershipMode"`
+	Zones      []string `json:"zones"`
 	Lanes      []struct {
+		Name        string  `json:"name"`
 		Aim         millis  `json:"aimMs"`
 		AimStretch  float64 `json:"aimStretch"`
 		Deadline    millis  `json:"deadlineMs"`
@@ -45,6 +47,8 @@
 		Probes        bool   `json:"probes"`
 		RetryAfter    bool   `json:"retryAfter"`
 		SecondCopies  bool   `json:"secondCopies"`
+		Connect       millis `json:"connectTimeoutMs"`
+		Keepalive     millis `json:"keepaliveMs"`
 	} `json:"allowed"`
 	Rules struct {
 		ColdFrom        float64 `json:"coldFrom"`
@@ -68,9 +72,31 @@
 	return v
 }
 
-func parseSettings(text []byte) (choice.Settings, units, error) {
+// Facts are the parts of the settings that a real pooler needs beside the router's.
+type Facts struct {
+	Classes            []string // names, in the order of the router's classes
+	Zones              []string
+	Connect, Keepalive time.Duration
+}
+
+// ParseSettings reads the settings for a real pooler.
+func ParseSettings(text []byte) (choice.Settings, Facts, error) {
 	var s settings
-	if err := json.Unmarshal(text, &s); err != nil {
+	c, _, err := parse(text, &s)
+	f := Facts{Zones: s.Zones, Connect: s.Allowed.Connect.time(), Keepalive: s.Allowed.Keepalive.time()}
+	for _, l := range s.Lanes {
+		f.Classes = append(f.Classes, l.Name)
+	}
+	if err == nil && (f.Connect <= 0 || f.Keepalive <= 0) {
+		err = fmt.Errorf("allowed.connectTimeoutMs is %v, allowed.keepaliveMs %v", f.Connect, f.Keepalive)
+	}
+	return c, f, err
+}
+
+func parseSettings(text []byte) (choice.Settings, units, error) { return parse(text, new(settings)) }
+
+func parse(text []byte, s *settings) (choice.Settings, units, error) {
+	if err := json.Unmarshal(text, s); err != nil {
 		return choice.Settings{}, units{}, err
 	}
 	var err error
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -11,7 +11,7 @@
 	"math"
 	"time"
 
-	"walktrack/choice"
+	"capercove/choice"
 )
 
 // Codes of the records read and written.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"walktrack/choice"
+	"capercove/choice"
 )
 
 func unhex(t testing.TB, s string) []byte {
