--- a/cmd/capercove/main.go
+++ b/cmd/capercove/main.go
@@ -16,6 +16,7 @@
 	"capercove/internal/config"
 	"capercove/internal/core"
 	"capercove/internal/discovery"
+	"capercove/internal/flight"
 	"capercove/internal/limits"
 	"capercove/internal/net"
 )
@@ -36,6 +37,7 @@
 	core   *core.Core
 	pool   *net.Pool
 	front  *net.Front
+	flight *flight.Front // nil while it is off
 }
 
 func run(log zerolog.Logger) error {
@@ -43,6 +45,14 @@
 	if err != nil {
 		return err
 	}
+	flightFile := os.Getenv("CAPERCOVE_FLIGHT")
+	if flightFile == "" {
+		flightFile = "deploy/flight.toml"
+	}
+	flightConfig, err := flight.Load(flightFile)
+	if err != nil {
+		return err
+	}
 	l := limits.For(cfg.Machine, cfg.Facts.Connect, cfg.Facts.Keepalive)
 	debug.SetMemoryLimit(l.MemoryBytes)
 	runtime.GOMAXPROCS(2) // One core, but the loop must not wait for a goroutine that sits in a system call.
@@ -64,7 +74,20 @@
 			p.driver.Do(func() { p.core.List(list.Entries(cfg.Facts.Zones), list.Complete) })
 		},
 		func() { p.driver.Do(p.core.ListFailed) })
-	p.core.Attach(watch, p.pool, p.pool)
+	watchers := []core.Watcher{p.pool}
+	if flightConfig.Listen != "" {
+		backend := flight.NewBackend(flightConfig, l, log, p.core, p.driver.Do)
+		watchers = append(watchers, backend)
+		if p.flight, err = flight.NewFront(l, log, p.core, p.driver.Do, backend, cfg.Facts.Classes); err != nil {
+			return err
+		}
+		go func() {
+			if err := p.flight.Serve(flightConfig.Listen); err != nil {
+				log.Fatal().Err(err).Msg("flight: listen")
+			}
+		}()
+	}
+	p.core.Attach(watch, p.pool, watchers...)
 	go p.signals()
 	log.Info().Str("listen", cfg.Listen).Int("members", len(cfg.Known.Members)).Msg("starting")
 	if err := p.driver.Run(); err != nil {
@@ -101,11 +124,14 @@
 func (p *program) stop() {
 	p.log.Info().Int("open", p.core.Open()).Msg("stopping")
 	p.front.Drain()
+	if p.flight != nil {
+		go p.flight.Stop()
+	}
 	begun := p.core.Now()
 	var check func()
 	check = func() {
 		now := p.core.Now()
-		done := p.core.Open() == 0 && p.front.Idle()
+		done := p.core.Open() == 0 && p.front.Idle() && (p.flight == nil || p.flight.Stopped())
 		if now >= begun+p.limits.Linger && done || now >= begun+p.limits.Stop {
 			p.driver.Stop()
 			return
@@ -116,6 +142,10 @@
 }
 
 func (p *program) counters(what string) {
-	p.log.Info().Interface("core", p.core.Count).Interface("front", p.front.Count).
-		Interface("pool", p.pool.Count).Int("open", p.core.Open()).Msg(what)
+	line := p.log.Info().Interface("core", p.core.Count).Interface("front", p.front.Count).
+		Interface("pool", p.pool.Count).Int("open", p.core.Open())
+	if p.flight != nil {
+		line = line.Interface("flight", p.flight.Counts())
+	}
+	line.Msg(what)
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -43,6 +43,7 @@
 
 // Request is what a client asks. The front fills in the exported fields.
 type Request struct {
+	Front        string // its name, for the counters
 	Class, Group int
 	Session      uint64
 	Expires      time.Duration // from now until the client quits
@@ -58,6 +59,7 @@
 	began    *Attempt // the attempt whose answer is already on its way to the client
 	done     bool
 	guard    *wheel.Timer
+	count    *Answers
 }
 
 // Attempt is one send of a request to a database.
@@ -74,12 +76,28 @@
 	done   bool
 }
 
+// Answers count the requests of one front and how they ended.
+type Answers struct {
+	Taken, Served, Refused, Failed int64
+	Gone                           int64 // the client left first
+}
+
 // Counters count what the core took in, sent and answered.
 type Counters struct {
-	Taken, Served, Refused, Failed, Gone, Overdue    int64
-	Attempts, Cancelled, Probes, Lists, ListsFailed  int64
-	Outcomes                                         [choice.TurnedAway + 1]int64
-	ProbesFailed, Batches, Events, LateEvents, Stops int64
+	Fronts                              map[string]*Answers
+	Overdue                             int64 // failed by the core's own guard: a fault in this program
+	Attempts, Cancelled                 int64
+	Served, Errors, Full, TimedOut      int64 // how attempts ended, as choice.Status
+	NoConnect, Broken, NotSent, Turned  int64
+	Probes, ProbesFailed                int64
+	Lists, ListsFailed, Batches, Events int64
+}
+
+// outcome is the counter of a status.
+func (c *Counters) outcome(s choice.Status) *int64 {
+	return [...]*int64{choice.OK: &c.Served, choice.NodeError: &c.Errors, choice.NodeFull: &c.Full,
+		choice.TimedOut: &c.TimedOut, choice.NoConnect: &c.NoConnect, choice.BrokenOff: &c.Broken,
+		choice.Cancelled: &c.Cancelled, choice.NotSent: &c.NotSent, choice.TurnedAway: &c.Turned}[s]
 }
 
 // Core owns the router, the tables and the timers.
@@ -109,7 +127,7 @@
 	wake func()) *Core {
 	return &Core{Wheel: wheel.New(l.Tick, l.Slots, clock()), limits: l, log: log, clock: clock, wake: wake,
 		router: choice.New(s, seed), classes: s.Classes, members: map[choice.NodeID]*Member{},
-		requests: map[choice.RequestID]*Request{}}
+		requests: map[choice.RequestID]*Request{}, Count: Counters{Fronts: map[string]*Answers{}}}
 }
 
 // Attach names who lists, who probes and who is told of members. It comes before the first event.
@@ -154,10 +172,14 @@
 
 // Submit takes a request. The answer may come before Submit returns only if there are too many open.
 func (c *Core) Submit(q *Request) {
-	c.Count.Taken++
+	if q.count = c.Count.Fronts[q.Front]; q.count == nil {
+		q.count = &Answers{}
+		c.Count.Fronts[q.Front] = q.count
+	}
+	q.count.Taken++
 	if len(c.requests) >= c.limits.Requests { // Against tables without bound.
 		q.done = true
-		c.Count.Refused++
+		q.count.Refused++
 		q.Client.Refused(0)
 		return
 	}
@@ -172,7 +194,7 @@
 			c.Count.Overdue++
 			c.log.Error().Uint64("request", uint64(q.id)).Msg("no answer by the deadline")
 			c.finish(q)
-			c.Count.Failed++
+			q.count.Failed++
 			q.Client.Failed(true)
 			c.push(choice.Event{Kind: choice.ClientGone, Request: q.id})
 		}
@@ -186,7 +208,7 @@
 	if q.done {
 		return
 	}
-	c.Count.Gone++
+	q.count.Gone++
 	c.finish(q)
 	c.push(choice.Event{Kind: choice.ClientGone, Request: q.id})
 }
@@ -225,16 +247,16 @@
 	a.done = true
 	a.timer.Stop()
 	q.out--
-	c.Count.Outcomes[status]++
+	*c.Count.outcome(status)++
 	if !q.done {
 		switch {
 		case status == choice.OK:
 			c.finish(q)
-			c.Count.Served++
+			q.count.Served++
 			q.Client.Served(answer)
 		case q.began != nil: // Against an answer cut halfway being sent again, or shown as whole.
 			c.finish(q)
-			c.Count.Failed++
+			q.count.Failed++
 			q.Client.Failed(status == choice.TimedOut)
 		}
 	}
@@ -350,10 +372,10 @@
 		}
 		c.finish(q)
 		if a.Kind == choice.Refuse && q.began == nil {
-			c.Count.Refused++
+			q.count.Refused++
 			q.Client.Refused(a.After)
 		} else {
-			c.Count.Failed++
+			q.count.Failed++
 			q.Client.Failed(c.clock() >= q.deadline)
 		}
 	}
@@ -383,7 +405,6 @@
 	if a.done {
 		return
 	}
-	c.Count.Cancelled++
 	a.Request.Backend.Cancel(a)
 	c.Done(a, status, choice.Evidence{}, nil)
 }
--- /dev/null
+++ b/internal/flight/backend.go
@@ -0,0 +1,299 @@
+package flight
+
+import (
+	"context"
+	"errors"
+	"io"
+
+	"github.com/apache/arrow-go/v18/arrow/flight"
+	"github.com/rs/zerolog"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/connectivity"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/stats"
+	"google.golang.org/grpc/status"
+
+	"capercove/choice"
+	"capercove/internal/core"
+	"capercove/internal/limits"
+)
+
+// Backend carries attempts to databases that speak Flight SQL. It implements core.Backend and core.Watcher. Its
+// methods are called on the core's goroutine; each attempt has a goroutine of its own.
+type Backend struct {
+	config Config
+	limits limits.Limits
+	log    zerolog.Logger
+	core   *core.Core
+	do     func(func()) // runs on the core's goroutine
+	conns  map[choice.NodeID]*conn
+}
+
+// conn is a connection to a database, which carries many calls. It is closed when the last one has ended.
+type conn struct {
+	addr    string
+	grpc    *grpc.ClientConn
+	uses    int
+	retired bool
+}
+
+func NewBackend(cfg Config, l limits.Limits, log zerolog.Logger, c *core.Core, do func(func())) *Backend {
+	return &Backend{config: cfg, limits: l, log: log, core: c, do: do, conns: map[choice.NodeID]*conn{}}
+}
+
+// Changed drops the connection to a database that is gone or elsewhere.
+func (b *Backend) Changed(m *core.Member) {
+	c := b.conns[m.ID]
+	if c != nil && (m.State == choice.Gone || c.addr != b.config.addr(m.Name, m.Addr)) {
+		b.retire(m.ID, c)
+	}
+}
+
+func (b *Backend) retire(id choice.NodeID, c *conn) {
+	if b.conns[id] == c {
+		delete(b.conns, id)
+	}
+	c.retired = true
+	if c.uses == 0 {
+		c.grpc.Close()
+	}
+}
+
+// conn returns the connection to a database.
+func (b *Backend) conn(m *core.Member) (*conn, error) {
+	if c := b.conns[m.ID]; c != nil {
+		return c, nil
+	}
+	addr := b.config.addr(m.Name, m.Addr)
+	// No retries of the library's, by service config or by itself (see oneTry): the router alone sends again.
+	cc, err := grpc.NewClient("passthrough:///"+addr, grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithDisableRetry(), grpc.WithDisableServiceConfig(), grpc.WithStatsHandler(oneTry{}),
+		grpc.WithNoProxy(), grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(b.limits.FlightMessage)))
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{addr: addr, grpc: cc}
+	b.conns[m.ID] = c
+	return c, nil
+}
+
+// Send begins an attempt.
+func (b *Backend) Send(a *core.Attempt) {
+	c, err := b.conn(a.Member)
+	if err != nil {
+		b.core.Done(a, choice.NoConnect, choice.Evidence{}, nil)
+		return
+	}
+	c.uses++
+	ctx, cancel := context.WithTimeout(context.Background(), a.Until-b.core.Now())
+	a.Handle = cancel
+	go func() {
+		t := &try{b: b, ctx: ctx, a: a, s: a.Request.Payload.(*statement), cancel: cancel}
+		result, answer := t.carry(c.grpc)
+		cancel()
+		b.do(func() {
+			// Against a database that was cut off: its connection stays open and silent for ever.
+			if result == choice.TimedOut && !t.heard {
+				b.retire(a.Member.ID, c)
+			}
+			if c.uses--; c.retired && c.uses == 0 {
+				c.grpc.Close()
+			}
+			b.core.Done(a, result, t.note, answer)
+		})
+	}()
+}
+
+// Cancel ends an attempt; the database's stream is reset.
+func (b *Backend) Cancel(a *core.Attempt) {
+	if cancel, ok := a.Handle.(context.CancelFunc); ok {
+		cancel()
+	}
+}
+
+// oneTry stops a call that gRPC is about to send again on its own.
+type oneTry struct{}
+
+type cancelKey struct{}
+
+func (oneTry) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context { return ctx }
+func (oneTry) HandleRPC(ctx context.Context, s stats.RPCStats) {
+	if begin, ok := s.(*stats.Begin); ok && begin.IsTransparentRetryAttempt {
+		if cancel, ok := ctx.Value(cancelKey{}).(context.CancelFunc); ok {
+			cancel()
+		}
+	}
+}
+func (oneTry) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context { return ctx }
+func (oneTry) HandleConn(context.Context, stats.ConnStats)                       {}
+
+// try is one attempt, on its goroutine.
+type try struct {
+	b      *Backend
+	ctx    context.Context
+	cancel context.CancelFunc
+	a      *core.Attempt
+	s      *statement
+	heard  bool // the database has answered
+	note   choice.Evidence
+}
+
+func (t *try) carry(cc *grpc.ClientConn) (choice.Status, any) {
+	if !t.connect(cc) {
+		return choice.NoConnect, nil
+	}
+	now := t.b.core.Now()
+	if t.a.By > 0 && now > t.a.By { // Against a read sent on a proof that has run out meanwhile.
+		return choice.NotSent, nil
+	}
+	d, err := t.s.descriptor()
+	if err != nil {
+		return choice.NotSent, nil
+	}
+	ctx := metadata.NewOutgoingContext(t.ctx, t.s.headers(t.a.Until-now))
+	ctx = context.WithValue(ctx, cancelKey{}, t.cancel)
+	client := flight.NewFlightServiceClient(cc)
+	var answer any
+	if t.s.update {
+		answer, err = t.put(ctx, client, d)
+	} else {
+		err = t.get(ctx, client, d)
+	}
+	return outcome(err), answer
+}
+
+// connect brings the connection up. What fails here has never run.
+func (t *try) connect(cc *grpc.ClientConn) bool {
+	ctx, cancel := context.WithTimeout(t.ctx, t.b.limits.ConnectTimeout)
+	defer cancel()
+	for {
+		switch state := cc.GetState(); state {
+		case connectivity.Ready:
+			return true
+		case connectivity.TransientFailure:
+			cc.ResetConnectBackoff() // the router decides when to try again
+			return false
+		case connectivity.Idle:
+			cc.Connect()
+			fallthrough
+		default:
+			if !cc.WaitForStateChange(ctx, state) {
+				return false
+			}
+		}
+	}
+}
+
+var errStale = status.Error(codes.FailedPrecondition, "the proof of freshness has run out")
+
+var errEndpoints = errors.New("the database's answer has not one endpoint of its own")
+
+// get passes a stream on, message by message. The schema waits for the first batch: until that is there the
+// request may still go elsewhere.
+func (t *try) get(ctx context.Context, client flight.FlightServiceClient, d *flight.FlightDescriptor) error {
+	var head, tail metadata.MD
+	info, err := client.GetFlightInfo(ctx, d, grpc.Header(&head), grpc.Trailer(&tail))
+	t.note = evidence(head, tail)
+	if err != nil {
+		return err
+	}
+	t.heard = true
+	if len(info.GetEndpoint()) != 1 || len(info.Endpoint[0].GetLocation()) > 0 {
+		return errEndpoints
+	}
+	if t.a.By > 0 && t.b.core.Now() > t.a.By { // it has run out since; nothing is sent twice for a read
+		return errStale
+	}
+	stream, err := client.DoGet(ctx, info.Endpoint[0].Ticket)
+	if err != nil {
+		return err
+	}
+	var schema *flight.FlightData
+	begun := false
+	for {
+		m, err := stream.Recv()
+		end := errors.Is(err, io.EOF)
+		if err != nil {
+			head, _ := stream.Header()
+			t.note = evidence(head, stream.Trailer())
+		}
+		if err != nil && !end {
+			return err
+		}
+		if !begun && !end && schema == nil {
+			schema = m
+			continue
+		}
+		if !begun {
+			if begun = t.began(); !begun {
+				return t.over()
+			}
+			if schema != nil && !t.pass(schema) {
+				return t.over()
+			}
+		}
+		if end {
+			return nil
+		}
+		if !t.pass(m) {
+			return t.over()
+		}
+	}
+}
+
+// began binds the request to this attempt before the client sees anything of it.
+func (t *try) began() bool {
+	ok := make(chan bool, 1)
+	t.b.do(func() { ok <- t.b.core.Began(t.a) })
+	select {
+	case yes := <-ok:
+		return yes
+	case <-t.ctx.Done():
+		return false
+	}
+}
+
+// over tells why nothing more is passed on.
+func (t *try) over() error {
+	if err := t.ctx.Err(); err != nil {
+		return status.FromContextError(err).Err()
+	}
+	return status.Error(codes.Canceled, "the request is over")
+}
+
+func (t *try) pass(m *flight.FlightData) bool {
+	select {
+	case t.s.call.data <- m:
+		return true
+	case <-t.ctx.Done():
+		return false
+	}
+}
+
+// put runs an update. Its answer is passed on as it came.
+func (t *try) put(ctx context.Context, client flight.FlightServiceClient, d *flight.FlightDescriptor) (any, error) {
+	stream, err := client.DoPut(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if err := stream.Send(&flight.FlightData{FlightDescriptor: d}); err != nil && !errors.Is(err, io.EOF) {
+		return nil, err
+	}
+	if err := stream.CloseSend(); err != nil {
+		return nil, err
+	}
+	result, err := stream.Recv()
+	if err == nil {
+		// The answer counts once the database has ended the call well.
+		if _, err = stream.Recv(); errors.Is(err, io.EOF) {
+			err = nil
+		} else if err == nil {
+			err = errors.New("more than one answer to an update")
+		}
+	}
+	head, _ := stream.Header()
+	t.note = evidence(head, stream.Trailer())
+	return result, err
+}
--- /dev/null
+++ b/internal/flight/front.go
@@ -0,0 +1,252 @@
+package flight
+
+import (
+	"context"
+	"hash/fnv"
+	"net"
+	"slices"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/apache/arrow-go/v18/arrow/flight"
+	"github.com/apache/arrow-go/v18/arrow/flight/flightsql"
+	"github.com/rs/zerolog"
+	"golang.org/x/net/netutil"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+
+	"capercove/choice"
+	"capercove/internal/core"
+	"capercove/internal/limits"
+)
+
+// Front serves Flight SQL clients: statement queries and updates. Commands about the server itself are answered
+// by the library, all others are unimplemented.
+type Front struct {
+	flight.FlightServer
+	Count FrontCounters
+
+	limits  limits.Limits
+	log     zerolog.Logger
+	core    *core.Core
+	do      func(func()) // runs on the core's goroutine
+	backend core.Backend
+	classes []string
+	server  *grpc.Server
+	slots   chan struct{}
+	stopped atomic.Bool
+}
+
+// FrontCounters count calls.
+type FrontCounters struct {
+	Calls, TurnedAway, Bad, Messages atomic.Int64
+}
+
+// Counts is a copy for the log.
+func (f *Front) Counts() map[string]int64 {
+	return map[string]int64{"Calls": f.Count.Calls.Load(), "TurnedAway": f.Count.TurnedAway.Load(),
+		"Bad": f.Count.Bad.Load(), "Messages": f.Count.Messages.Load()}
+}
+
+// NewFront returns a front for classes of these names.
+func NewFront(l limits.Limits, log zerolog.Logger, c *core.Core, do func(func()), b core.Backend,
+	classes []string) (*Front, error) {
+	base := &flightsql.BaseServer{}
+	for id, value := range map[flightsql.SqlInfo]any{
+		flightsql.SqlInfoFlightSqlServerName:        "capercove",
+		flightsql.SqlInfoFlightSqlServerReadOnly:    false,
+		flightsql.SqlInfoFlightSqlServerSql:         true,
+		flightsql.SqlInfoFlightSqlServerTransaction: int32(flightsql.SqlTransactionNone),
+	} {
+		if err := base.RegisterSqlInfo(id, value); err != nil {
+			return nil, err
+		}
+	}
+	f := &Front{FlightServer: flightsql.NewFlightServer(base), limits: l, log: log, core: c, do: do, backend: b,
+		classes: classes, slots: make(chan struct{}, l.FlightCalls)}
+	f.server = grpc.NewServer(grpc.MaxRecvMsgSize(l.FlightMessage), grpc.MaxConcurrentStreams(uint32(l.FlightCalls)),
+		grpc.ConnectionTimeout(l.Startup))
+	flight.RegisterFlightServiceServer(f.server, f)
+	return f, nil
+}
+
+// Serve listens until Stop.
+func (f *Front) Serve(listen string) error {
+	l, err := net.Listen("tcp", listen)
+	if err != nil {
+		return err
+	}
+	// Against running out of descriptors.
+	return f.server.Serve(netutil.LimitListener(l, f.limits.FlightClients))
+}
+
+// Stop takes no new calls and waits for those that run.
+func (f *Front) Stop() {
+	f.server.GracefulStop()
+	f.stopped.Store(true)
+}
+
+// Stopped tells whether all answers have gone out after Stop.
+func (f *Front) Stopped() bool { return f.stopped.Load() }
+
+// GetFlightInfo gives out a ticket for a statement. Nothing runs until it is fetched.
+func (f *Front) GetFlightInfo(ctx context.Context, d *flight.FlightDescriptor) (*flight.FlightInfo, error) {
+	sql, ok, err := parseQuery(d.GetCmd())
+	if err != nil {
+		return nil, err
+	}
+	if !ok {
+		return f.FlightServer.GetFlightInfo(ctx, d)
+	}
+	s := statement{SQL: sql}
+	md, _ := metadata.FromIncomingContext(ctx)
+	s.fill(md)
+	ticket, err := s.ticket()
+	if err != nil {
+		return nil, err
+	}
+	return &flight.FlightInfo{FlightDescriptor: d, TotalRecords: -1, TotalBytes: -1,
+		Endpoint: []*flight.FlightEndpoint{{Ticket: &flight.Ticket{Ticket: ticket}}}}, nil
+}
+
+// DoGet runs a statement and streams its answer.
+func (f *Front) DoGet(t *flight.Ticket, stream flight.FlightService_DoGetServer) error {
+	s, ok, err := parseTicket(t)
+	if err != nil {
+		return err
+	}
+	if !ok {
+		return f.FlightServer.DoGet(t, stream)
+	}
+	_, err = f.run(stream.Context(), &s, stream.Send)
+	return err
+}
+
+// DoPut runs an update and answers with its record count.
+func (f *Front) DoPut(stream flight.FlightService_DoPutServer) error {
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	s := statement{update: true}
+	if s.SQL, err = parseUpdate(first.GetFlightDescriptor().GetCmd()); err != nil {
+		return err
+	}
+	answer, err := f.run(stream.Context(), &s, nil)
+	if err != nil {
+		return err
+	}
+	return stream.Send(answer.(*flight.PutResult))
+}
+
+// call is the client's end of one request. It implements core.Client.
+type call struct {
+	data  chan *flight.FlightData // unbuffered: a slow client slows its database down
+	final chan final
+}
+
+type final struct {
+	answer any
+	err    error
+}
+
+func (c *call) Served(answer any) { c.final <- final{answer: answer} }
+
+func (c *call) Refused(after time.Duration) { c.final <- final{err: Refusal(after)} }
+
+func (c *call) Failed(timedOut bool) {
+	err := errFailed
+	if timedOut {
+		err = errDeadline
+	}
+	c.final <- final{err: err}
+}
+
+// run takes a request through the core and returns its one final answer.
+func (f *Front) run(ctx context.Context, s *statement, send func(*flight.FlightData) error) (any, error) {
+	f.Count.Calls.Add(1)
+	md, _ := metadata.FromIncomingContext(ctx)
+	s.fill(md)
+	q, err := f.request(ctx, s)
+	if err != nil {
+		f.Count.Bad.Add(1)
+		return nil, err
+	}
+	select { // Against more streams than the memory holds messages for.
+	case f.slots <- struct{}{}:
+		defer func() { <-f.slots }()
+	default:
+		f.Count.TurnedAway.Add(1)
+		return nil, Refusal(0)
+	}
+	c := &call{data: make(chan *flight.FlightData), final: make(chan final, 1)}
+	s.call, q.Client = c, c
+	unknown := make(chan bool, 1)
+	f.do(func() {
+		if known := f.core.HasGroup(q.Group); !known {
+			unknown <- true
+		} else {
+			f.core.Submit(q)
+		}
+	})
+	for {
+		select {
+		case <-unknown:
+			f.Count.Bad.Add(1)
+			return nil, status.Error(codes.InvalidArgument, KeyGroup+": unknown group")
+		case m := <-c.data:
+			f.Count.Messages.Add(1)
+			if err := send(m); err != nil {
+				f.do(func() { f.core.Leave(q) })
+				return nil, err
+			}
+		case v := <-c.final:
+			return v.answer, v.err
+		case <-ctx.Done(): // Against a database that streams on for a client that has cancelled.
+			f.do(func() { f.core.Leave(q) })
+			return nil, status.FromContextError(ctx.Err()).Err()
+		}
+	}
+}
+
+// request checks what a client asks.
+func (f *Front) request(ctx context.Context, s *statement) (*core.Request, error) {
+	bad := func(key, why string) (*core.Request, error) {
+		return nil, status.Error(codes.InvalidArgument, key+": "+why)
+	}
+	q := &core.Request{Front: "flight", Class: slices.Index(f.classes, s.Class), Payload: s, Backend: f.backend}
+	if q.Class < 0 {
+		return bad(KeyClass, "unknown class")
+	}
+	class := f.core.Class(q.Class)
+	var err error
+	if q.Group, err = strconv.Atoi(s.Group); err != nil {
+		return bad(KeyGroup, "not a number")
+	}
+	if s.ID == "" {
+		return bad(KeyID, "missing")
+	}
+	if q.LastWrite, err = position([]string{s.After}); err != nil {
+		return bad(KeyAfter, err.Error())
+	}
+	q.Expires = class.Deadline
+	if s.wait != "" {
+		ms, err := strconv.ParseUint(s.wait, 10, 31)
+		if err != nil || ms == 0 {
+			return bad(KeyDeadline, "not a positive number of milliseconds")
+		}
+		q.Expires = time.Duration(ms) * time.Millisecond
+	}
+	if at, ok := ctx.Deadline(); ok {
+		q.Expires = min(q.Expires, time.Until(at))
+	}
+	if s.Session != "" && (class.Read == choice.Write || class.Read == choice.SessionRead) {
+		h := fnv.New64a()
+		h.Write([]byte(s.Session))
+		q.Session = max(h.Sum64(), 1)
+	}
+	return q, nil
+}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -6,16 +6,19 @@
 
 // Limits bounds what the program holds and how long it waits.
 type Limits struct {
-	MemoryBytes  int64 // the collector is told to stay under this
-	Clients      int   // client connections; a further one is turned away
-	Servers      int   // connections to databases, dials included
-	IdleEach     int   // idle connections kept to one database
-	Requests     int   // requests open at once; a further one is refused
-	Pipeline     int   // commands of one client connection that await their answers
-	MessageBytes int   // longest message taken from a client or a database
-	OutputBytes  int   // answers that a client may leave unread before it is closed
-	Members      int   // entries of a list
-	ListBytes    int   // one list, or one line of a watch
+	MemoryBytes   int64 // the collector is told to stay under this
+	Clients       int   // client connections; a further one is turned away
+	Servers       int   // connections to databases, dials included
+	IdleEach      int   // idle connections kept to one database
+	Requests      int   // requests open at once; a further one is refused
+	Pipeline      int   // commands of one client connection that await their answers
+	MessageBytes  int   // longest message taken from a client or a database
+	OutputBytes   int   // answers that a client may leave unread before it is closed
+	Members       int   // entries of a list
+	ListBytes     int   // one list, or one line of a watch
+	FlightMessage int   // longest message of a Flight stream
+	FlightClients int   // connections of Flight clients
+	FlightCalls   int   // Flight calls at once, each of which may hold two messages
 
 	Tick           time.Duration // of the timer wheel
 	Slots          int           // of the timer wheel
@@ -42,17 +45,22 @@
 // are idle for keepalive. A dial holds two descriptors for a moment, hence the reserve.
 func For(m Machine, connect, keepalive time.Duration) Limits {
 	sockets := max(64, m.Sockets-64)
+	const flightMessage = 4 << 20
+	memory := int64(m.MemoryMB) << 20 * 6 / 10
 	return Limits{
-		MemoryBytes:  int64(m.MemoryMB) << 20 * 6 / 10,
-		Clients:      sockets * 6 / 10,
-		Servers:      sockets * 3 / 10,
-		IdleEach:     24,
-		Requests:     20000,
-		Pipeline:     32,
-		MessageBytes: 256 << 10,
-		OutputBytes:  1 << 20,
-		Members:      4096,
-		ListBytes:    4 << 20,
+		MemoryBytes:   memory,
+		Clients:       sockets * 6 / 10,
+		Servers:       sockets * 3 / 10,
+		IdleEach:      24,
+		Requests:      20000,
+		Pipeline:      32,
+		MessageBytes:  256 << 10,
+		OutputBytes:   1 << 20,
+		Members:       4096,
+		ListBytes:     4 << 20,
+		FlightMessage: flightMessage,
+		FlightClients: sockets / 20,
+		FlightCalls:   max(8, int(memory/4/flightMessage)),
 
 		Tick:           5 * time.Millisecond,
 		Slots:          1024,
--- a/internal/net/front.go
+++ b/internal/net/front.go
@@ -49,6 +49,7 @@
 	slots   []*slot
 	startup interface{ Stop() }
 	ending  bool // nothing more is read
+	used    bool // it has had an answer, or was there before the front drained
 	gone    bool
 }
 
@@ -71,6 +72,7 @@
 		return k
 	}
 	f.Count.Accepted++
+	k.used = !f.draining
 	f.clients[k] = struct{}{}
 	// Against connections that are opened and never used.
 	k.startup = f.core.Wheel.At(f.core.Now()+f.limits.Startup, func() {
@@ -109,6 +111,7 @@
 func (k *client) command(c pg.Command) {
 	f := k.front
 	f.Count.Commands++
+	k.used = k.used || c.Query != ""
 	s := &slot{client: k, answer: c.Reply, ready: true, last: c.Close}
 	k.slots = append(k.slots, s)
 	k.ending = c.Close
@@ -137,7 +140,7 @@
 		f.bad("unknown cluster")
 	default:
 		s.ready = false
-		s.request = &core.Request{Class: class, Group: q.Group, Expires: q.Wait, LastWrite: q.After,
+		s.request = &core.Request{Front: "postgres", Class: class, Group: q.Group, Expires: q.Wait, LastWrite: q.After,
 			Payload: &q, Backend: f.backend, Client: s}
 		if kind := f.core.Class(class).Read; kind == choice.Write || kind == choice.SessionRead {
 			s.request.Session = q.Key
@@ -194,7 +197,9 @@
 	}
 	switch {
 	case k.gone: // the write found it closed
-	case last || k.front.draining && k.idle():
+	// Against closing a connection that was opened meanwhile before its first query: a client whose query
+	// crosses a close sends it once more, and that may already have been its second.
+	case last || k.front.draining && k.used && k.idle():
 		k.end()
 	case k.conn.OutboundBuffered() > k.front.limits.OutputBytes: // Against a client that does not read.
 		k.front.bad("answers are not read")
--- /dev/null
+++ b/internal/net/net_test.go
@@ -0,0 +1,184 @@
+package net_test
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"capercove/internal/pg"
+	"capercove/internal/testbed"
+)
+
+const second = time.Second
+
+// A read's value and statement pass unchanged but for d; a write goes to the primary.
+func TestServed(t *testing.T) {
+	b := testbed.Start(t)
+	c := b.Client()
+	sql := b.Statement("read", "a", second)
+	r := c.Ask(sql)
+	require.True(t, r.Complete)
+	require.True(t, strings.HasPrefix(string(r.Value), "from db-"))
+	got := append(b.Databases[0].Got(), b.Databases[1].Got()...)
+	require.Len(t, got, 1)
+	var wait int
+	head, tail, _ := strings.Cut(sql, "d=1000")
+	_, err := fmt.Sscanf(strings.TrimSuffix(strings.TrimPrefix(got[0], head), tail), "d=%d", &wait)
+	require.NoError(t, err)
+	require.Equal(t, got[0], fmt.Sprintf("%sd=%d%s", head, wait, tail))
+	require.True(t, wait > 0 && wait <= 1000)
+	require.Equal(t, "from db-0", string(c.Ask(b.Statement("write", "b", second)).Value))
+}
+
+// A refusal is 53300 with a number in D; a write that may have run is failed and sent once; a read is sent again.
+func TestFinalAnswers(t *testing.T) {
+	b := testbed.Start(t)
+	c := b.Client()
+	for _, key := range []string{"fail-1", "cut-2", "hang-3"} {
+		r := c.Ask(b.Statement("write", key, 400*time.Millisecond))
+		require.NotEmpty(t, r.Code, key)
+		require.NotEqual(t, pg.CodeFull, r.Code, key)
+		sent := 0
+		for _, sql := range b.Databases[0].Got() {
+			if strings.Contains(sql, key) {
+				sent++
+			}
+		}
+		require.Equal(t, 1, sent, "a write that may have run is sent once")
+		b.Eventually(func() bool { return c.Ask(b.Statement("write", "x", second)).Complete }, "the primary is back")
+	}
+	r := c.Ask(b.Statement("write", "full-4", 400*time.Millisecond))
+	require.Equal(t, pg.CodeFull, r.Code)
+	require.Regexp(t, `^\d+$`, r.Detail)
+	c.Ask(b.Statement("report", "cut-5", second))
+	require.Greater(t, len(b.Databases[0].Got())+len(b.Databases[1].Got()), 8, "a safe read is sent again")
+}
+
+// Answers come in the order of the commands, also where a later one is ready first.
+func TestPipeline(t *testing.T) {
+	b := testbed.Start(t)
+	c := b.Client()
+	out := pg.AppendQuery(nil, b.Statement("write", "hang", 300*time.Millisecond))
+	out = pg.AppendQuery(out, "")
+	out = pg.AppendQuery(out, b.Statement("report", "a", second))
+	c.Send(out)
+	require.Equal(t, pg.CodeQueryCanceled, c.Next().Code)
+	require.Equal(t, pg.Reply{Complete: true}, c.Next())
+	require.NotEmpty(t, c.Next().Value)
+}
+
+// A client that leaves ends its attempt: the database sees the connection close.
+func TestClientGone(t *testing.T) {
+	b := testbed.Start(t)
+	c := b.Client()
+	c.Send(pg.AppendQuery(nil, b.Statement("write", "hang", 3*second)))
+	b.Eventually(func() bool { return len(b.Databases[0].Got()) == 1 }, "the write is out")
+	c.Close()
+	b.Eventually(func() bool { return b.Databases[0].Ended() == 1 }, "the attempt is ended")
+	b.Counters(func(c testbed.Counters) bool {
+		return c.Core.Fronts["postgres"] == testbed.Answers{Taken: 1, Gone: 1}
+	})
+}
+
+// A connection that broke while idle carries no write, and one is used again and again while it is sound.
+func TestIdleConnections(t *testing.T) {
+	b := testbed.Start(t)
+	c := b.Client()
+	for range 20 {
+		require.True(t, c.Ask(b.Statement("write", "a", second)).Complete)
+	}
+	require.Less(t, b.Databases[0].Connections(), 5)
+	b.Databases[0].Cut()
+	require.True(t, c.Ask(b.Statement("write", "b", second)).Complete)
+}
+
+// Bad input gets a plain error or a close, and the program goes on.
+func TestBadInput(t *testing.T) {
+	b := testbed.Start(t)
+	c := b.Client()
+	good := b.Statement("read", "a", second)
+	for sql, code := range map[string]string{
+		"SELECT 1": pg.CodeSyntax,
+		strings.Replace(good, "c=read", "c=none", 1):               pg.CodeBadValue,
+		strings.Replace(good, "cluster=3", "cluster=9", 1):         pg.CodeBadValue,
+		strings.Replace(good, ",cluster=3", "", 1):                 pg.CodeBadValue,
+		strings.Replace(good, "cluster=3", "cluster=x", 1):         pg.CodeSyntax,
+		strings.Replace(good, "d=1000", "d=0", 1):                  pg.CodeSyntax,
+		strings.Replace(good, "d=1000", "d=99999999999999", 1):     pg.CodeSyntax,
+		strings.Replace(good, "id=", "ix=", 1):                     pg.CodeSyntax,
+		strings.Replace(good, "*/", "", 1):                         pg.CodeSyntax,
+		strings.Replace(good, "cluster=3", "cluster=3,after=-", 1): pg.CodeSyntax,
+	} {
+		require.Equal(t, code, c.Ask(sql).Code, sql)
+	}
+	require.True(t, c.Ask("SET x = 1").Complete)
+	c.Send([]byte("P\x00\x00\x00\x08\x00\x00\x00\x00B\x00\x00\x00\x04S\x00\x00\x00\x04")) // Parse, Bind, Sync
+	require.Equal(t, pg.CodeUnsupported, c.Next().Code)
+	require.True(t, c.Ask(b.Statement("write", strings.Repeat("x", 128<<10), second)).Complete, "64 KiB as hex")
+
+	start := string(pg.AppendStartup(nil, "client", "core"))
+	for _, bytes := range []string{
+		"\xff\xff\xff\xff", "\x00\x00\x00\x04", "\x00\x00\x00\x08\x00\x02\x00\x00",
+		start + "Q\x7f\xff\xff\xff", start + "Q\x00\x00\x00\x05x", start + "!\x00\x00\x00\x04",
+	} {
+		raw := b.Dial()
+		_, err := raw.Write([]byte(bytes))
+		require.NoError(t, err)
+		raw.SetReadDeadline(time.Now().Add(testbed.Patience))
+		rest, err := io.ReadAll(raw)
+		require.NoError(t, err, "the program closes: %q", bytes)
+		require.Contains(t, string(rest), "FATAL")
+	}
+	require.True(t, c.Ask(b.Statement("read", "a", second)).Complete)
+}
+
+// A gone database gets nothing, also not over connections that are open; a new one listed is found.
+func TestListChanges(t *testing.T) {
+	b := testbed.Start(t)
+	c := b.Client()
+	require.True(t, c.Ask(b.Statement("report", "a", second)).Complete)
+	b.List(b.Entry(1, "DELETED"))
+	b.Eventually(func() bool {
+		before := len(b.Databases[1].Got())
+		for range 8 {
+			c.Ask(b.Statement("report", "b", second))
+		}
+		return len(b.Databases[1].Got()) == before
+	}, "nothing goes to a gone replica")
+	before := len(b.Databases[1].Got())
+	for range 8 {
+		require.Equal(t, "from db-0", string(c.Ask(b.Statement("report", "c", second)).Value))
+	}
+	require.Len(t, b.Databases[1].Got(), before)
+	b.List(b.Entry(1, "SERVING"))
+	b.Eventually(func() bool {
+		c.Ask(b.Statement("report", "d", second))
+		return len(b.Databases[1].Got()) > before
+	}, "it is back")
+}
+
+// Discovery may be down: the known list serves.
+func TestWithoutDiscovery(t *testing.T) {
+	b := testbed.Start(t, testbed.WithoutDiscovery)
+	require.True(t, b.Client().Ask(b.Statement("write", "a", second)).Complete)
+}
+
+// SIGTERM finishes what was taken, serves what still arrives, closes idle clients and ends well.
+func TestStop(t *testing.T) {
+	b := testbed.Start(t)
+	idle, busy := b.Client(), b.Client()
+	busy.Send(pg.AppendQuery(nil, b.Statement("write", "hang", 1500*time.Millisecond)))
+	b.Eventually(func() bool { return len(b.Databases[0].Got()) == 1 }, "the write is out")
+	b.Signal(syscall.SIGTERM)
+	_, err := idle.Read(make([]byte, 1))
+	require.Equal(t, io.EOF, err, "an idle client is closed")
+	require.True(t, b.Client().Ask(b.Statement("report", "a", second)).Complete, "a new one is served")
+	require.Equal(t, pg.CodeQueryCanceled, busy.Next().Code, "what was taken is finished")
+	require.NoError(t, b.Wait())
+	require.Contains(t, b.Log(), `"postgres":{"Taken":2,"Served":1,"Refused":0,"Failed":1,"Gone":0}`)
+}
--- a/internal/pg/link.go
+++ b/internal/pg/link.go
@@ -15,7 +15,8 @@
 	Complete bool          // CommandComplete has come and there was no error
 	Value    []byte        // first column of the first row
 	Code     string        // of an error; empty if there was none
-	Detail   string        // ... and its message
+	Message  string        // ... its message
+	Detail   string        // ... and field D
 	Mode     string        // ParameterStatus mode
 	Position time.Duration // ParameterStatus wal_time, from the Unix epoch; 0: none
 	Fatal    bool          // the connection cannot be used again
@@ -114,6 +115,8 @@
 		case 'C':
 			r.Code = value
 		case 'M':
+			r.Message = value
+		case 'D':
 			r.Detail = value
 		case 'S', 'V':
 			r.Fatal = r.Fatal || value == "FATAL" || value == "PANIC"
--- /dev/null
+++ b/internal/testbed/database.go
@@ -0,0 +1,300 @@
+package testbed
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apache/arrow-go/v18/arrow"
+	"github.com/apache/arrow-go/v18/arrow/array"
+	"github.com/apache/arrow-go/v18/arrow/flight"
+	"github.com/apache/arrow-go/v18/arrow/flight/flightsql"
+	"github.com/apache/arrow-go/v18/arrow/memory"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+
+	"capercove/internal/discovery"
+	wire "capercove/internal/flight"
+	"capercove/internal/pg"
+)
+
+// Database is a stand-in for one database on both wires. What it does with a statement is told by the first of
+// these words in it: full (turned away), fail (an error), miss (not the primary), cut (the connection breaks),
+// half (a Flight stream stops after a batch), hang (no answer), endless (a Flight stream without end). All
+// other statements are served.
+type Database struct {
+	ID, Addr, Flight string
+
+	t       *testing.T
+	primary bool
+	mu      sync.Mutex
+	got     []string
+	started int
+	ended   int // hangs and endless streams that the pooler ended
+	conns   map[net.Conn]bool
+	grpc    *grpc.Server
+}
+
+func newDatabase(t *testing.T, id string, primary bool) *Database {
+	d := &Database{ID: id, t: t, primary: primary, conns: map[net.Conn]bool{}}
+	l := d.listen()
+	d.Addr = l.Addr().String()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go d.serve(c)
+		}
+	}()
+	return d
+}
+
+func (d *Database) entry(phase string) discovery.Entry {
+	mode := "read-only"
+	if d.primary {
+		mode = "read-write"
+	}
+	return discovery.Entry{ID: d.ID, Addr: d.Addr, Locality: "a", Cell: 3, Phase: phase, Mode: mode}
+}
+
+// Got returns the statements that have come, probes left out.
+func (d *Database) Got() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return append([]string{}, d.got...)
+}
+
+// Ended is how many statements the pooler has ended before they were answered.
+func (d *Database) Ended() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.ended
+}
+
+// Connections is how many connections have been started.
+func (d *Database) Connections() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.started
+}
+
+// Cut breaks all connections.
+func (d *Database) Cut() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for c := range d.conns {
+		c.Close()
+		delete(d.conns, c)
+	}
+}
+
+func (d *Database) note(sql string) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.got = append(d.got, sql)
+	for _, word := range []string{"full", "fail", "miss", "cut", "half", "hang", "endless"} {
+		if strings.Contains(sql, word) {
+			return word
+		}
+	}
+	return ""
+}
+
+func (d *Database) end() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ended++
+}
+
+func (d *Database) mode() string { return d.entry("").Mode }
+
+func now() int64 { return time.Now().UnixMilli() }
+
+// tracked is a listener whose connections Cut breaks.
+type tracked struct {
+	net.Listener
+	d *Database
+}
+
+func (l tracked) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		l.d.mu.Lock()
+		l.d.conns[c] = true
+		l.d.mu.Unlock()
+	}
+	return c, err
+}
+
+func (d *Database) listen() net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(d.t, err)
+	d.t.Cleanup(func() { l.Close() })
+	return tracked{l, d}
+}
+
+// ---- The PostgreSQL wire
+
+func (d *Database) serve(c net.Conn) {
+	defer c.Close()
+	session := pg.NewSession(1 << 20)
+	buf := make([]byte, 64<<10)
+	hanging := false
+	for {
+		n, err := c.Read(buf)
+		if err != nil {
+			if hanging {
+				d.end()
+			}
+			return
+		}
+		session.Feed(buf[:n])
+		for {
+			command, ok := session.Next()
+			if !ok {
+				break
+			}
+			if command.Query == "" {
+				d.mu.Lock()
+				d.started++
+				d.mu.Unlock()
+				c.Write(command.Reply)
+				continue
+			}
+			reply, word := d.answer(command.Query)
+			hanging = word == "hang"
+			if word == "cut" {
+				return
+			}
+			c.Write(reply)
+		}
+	}
+}
+
+func (d *Database) answer(sql string) (reply []byte, word string) {
+	if sql == "SHOW stats" {
+		x1 := 0
+		if d.primary {
+			x1 = 1
+		}
+		return row(nil, fmt.Sprintf("x0=%.3f,x1=%d,util=0.1", float64(now())/1000, x1)), ""
+	}
+	switch word = d.note(sql); word {
+	case "full":
+		return d.failure(pg.CodeFull), word
+	case "fail":
+		return d.failure("XX000"), word
+	case "miss":
+		return d.failure(pg.CodeReadOnly), word
+	case "hang", "cut":
+		return nil, word
+	}
+	return row(d.parameters(nil), "from "+d.ID), word
+}
+
+func (d *Database) parameters(b []byte) []byte {
+	return pg.AppendParameter(pg.AppendParameter(b, "mode", d.mode()), "wal_time", fmt.Sprint(now()))
+}
+
+func (d *Database) failure(code string) []byte {
+	return pg.AppendReady(d.parameters(pg.AppendError(nil, "ERROR", code, "told to", "")))
+}
+
+// row is an answer of one value.
+func row(b []byte, value string) []byte {
+	b = append(b, "T\x00\x00\x00\x1c\x00\x01val\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x11\xff\xff\xff\xff\xff\xff\x00\x01"...)
+	size := len(value)
+	b = append(b, 'D', 0, 0, byte((size+10)>>8), byte(size+10), 0, 1, 0, 0, byte(size>>8), byte(size))
+	b = append(b, value...)
+	return pg.AppendReady(append(b, "C\x00\x00\x00\x0dSELECT 1\x00"...))
+}
+
+// ---- Arrow Flight SQL
+
+func (d *Database) serveFlight() {
+	l := d.listen()
+	d.Flight = l.Addr().String()
+	d.grpc = grpc.NewServer()
+	flight.RegisterFlightServiceServer(d.grpc, flightsql.NewFlightServer(&flightServer{d: d}))
+	go d.grpc.Serve(l)
+	d.t.Cleanup(d.grpc.Stop)
+}
+
+type flightServer struct {
+	flightsql.BaseServer
+	d *Database
+}
+
+func (s *flightServer) GetFlightInfoStatement(_ context.Context, q flightsql.StatementQuery,
+	d *flight.FlightDescriptor) (*flight.FlightInfo, error) {
+	ticket, err := flightsql.CreateStatementQueryTicket([]byte(q.GetQuery()))
+	return &flight.FlightInfo{FlightDescriptor: d,
+		Endpoint: []*flight.FlightEndpoint{{Ticket: &flight.Ticket{Ticket: ticket}}}}, err
+}
+
+// begin does what a statement's word says, up to its answer.
+func (s *flightServer) begin(ctx context.Context, sql string) (word string, err error) {
+	grpc.SetTrailer(ctx, metadata.Pairs(wire.KeyMode, s.d.mode(), wire.KeyWALTime, fmt.Sprint(now())))
+	switch word = s.d.note(sql); word {
+	case "full":
+		return word, wire.Refusal(0)
+	case "fail":
+		return word, status.Error(codes.Internal, "told to")
+	case "miss":
+		return word, status.Error(codes.FailedPrecondition, "told to")
+	case "cut":
+		s.d.Cut()
+		return word, status.Error(codes.Unavailable, "told to")
+	case "hang":
+		<-ctx.Done()
+		s.d.end()
+		return word, ctx.Err()
+	}
+	return word, nil
+}
+
+var schema = arrow.NewSchema([]arrow.Field{{Name: "val", Type: arrow.BinaryTypes.String}}, nil)
+
+// Batches is how many record batches a served statement has.
+const Batches = 3
+
+func (s *flightServer) DoGetStatement(ctx context.Context, q flightsql.StatementQueryTicket) (*arrow.Schema,
+	<-chan flight.StreamChunk, error) {
+	word, err := s.begin(ctx, string(q.GetStatementHandle()))
+	if err != nil {
+		return nil, nil, err
+	}
+	chunks := make(chan flight.StreamChunk)
+	go func() {
+		defer close(chunks)
+		for i := 0; i < Batches || word == "endless"; i++ {
+			if word == "half" && i == 1 {
+				<-ctx.Done()
+				return
+			}
+			b := array.NewRecordBuilder(memory.DefaultAllocator, schema)
+			b.Field(0).(*array.StringBuilder).Append("from " + s.d.ID)
+			select {
+			case chunks <- flight.StreamChunk{Data: b.NewRecordBatch()}:
+			case <-ctx.Done():
+				s.d.end()
+				return
+			}
+		}
+	}()
+	return schema, chunks, nil
+}
+
+func (s *flightServer) DoPutCommandStatementUpdate(ctx context.Context, u flightsql.StatementUpdate) (int64, error) {
+	_, err := s.begin(ctx, u.GetQuery())
+	return 1, err
+}
--- /dev/null
+++ b/internal/testbed/testbed.go
@@ -0,0 +1,319 @@
+// Package testbed starts the real program as a process, with stand-in databases and a stand-in discovery round
+// it, and talks to it as clients do. It is the one helper of all tests that start the program.
+package testbed
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"capercove/internal/discovery"
+	"capercove/internal/pg"
+)
+
+// Patience is how long anything that must happen may take on a busy machine.
+const Patience = 20 * time.Second
+
+// Settings is what the program is told of its site: as the platform words it, with three classes.
+const Settings = `{"balancers":1,"membershipMode":"on_request","overShareWorth":0.1,"zones":["a"],
+"allowed":{"cancel":true,"connectTimeoutMs":250,"keepaliveMs":15000,"maxRetryAfterMs":2000,"probes":true,
+ "retryAfter":false,"secondCopies":false,"sendCap":10},
+"extra":{"behind":"none","classRead":["lag_bound","eventual","mutate"],"listRole":"static",
+ "maxAgeMs":[500,0,0],"sessionMarks":"brought","originTimeMs":0},
+"feedback":{"fields":["x0","x1","utilization"],"source":"probe"},
+"lanes":[
+ {"name":"read","aimMs":300,"deadlineMs":1200,"credit":2,"lateValue":0.2,"idempotency":"safe"},
+ {"name":"report","aimMs":5000,"deadlineMs":10000,"credit":6,"lateValue":0.2,"idempotency":"safe"},
+ {"name":"write","aimMs":1000,"deadlineMs":3000,"credit":3,"lateValue":0.5,"idempotency":"unsafe"}],
+"rules":{"coldFrom":0.16,"coldMs":18000,"drainGraceMs":2000,"fallMs":2000,"tipMultiple":2.5}}`
+
+// Bed is one running program and what stands round it.
+type Bed struct {
+	T         *testing.T
+	Addr      string
+	Flight    string // address of the Flight SQL front; empty if it is off
+	Databases []*Database
+	Known     []discovery.Entry
+
+	process   *exec.Cmd
+	exited    chan error
+	log       *output
+	discovery *httptest.Server
+	changes   chan discovery.List
+	revision  uint64
+	ids       int
+}
+
+// Option changes a bed before the program starts.
+type Option func(*Bed)
+
+// WithFlight turns the Flight SQL front and the databases' own on.
+func WithFlight(b *Bed) {
+	b.Flight = free(b.T)
+	for _, d := range b.Databases {
+		d.serveFlight()
+	}
+}
+
+// WithoutDiscovery starts the program while discovery is down.
+func WithoutDiscovery(b *Bed) { b.discovery.Listener.Close() }
+
+// Start runs the program with a primary, db-0, and one replica, db-1, of group 3.
+func Start(t *testing.T, options ...Option) *Bed {
+	b := &Bed{T: t, Addr: free(t), changes: make(chan discovery.List, 16), revision: 1}
+	b.discovery = httptest.NewServer(http.HandlerFunc(b.serveList))
+	t.Cleanup(b.discovery.Close)
+	for i := range 2 {
+		d := newDatabase(t, fmt.Sprintf("db-%d", i), i == 0)
+		b.Databases = append(b.Databases, d)
+		b.Known = append(b.Known, d.entry("SERVING"))
+	}
+	for _, o := range options {
+		o(b)
+	}
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		return path
+	}
+	config, err := json.Marshal(map[string]any{"name": "n0", "listen": b.Addr, "seed": "8c1f30d27a5be964",
+		"discovery": b.discovery.Listener.Addr().String(),
+		"limits":    map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
+		"known":     discovery.List{Revision: b.revision, Complete: true, Members: b.Known},
+		"settings":  json.RawMessage(Settings)})
+	require.NoError(t, err)
+	flight := fmt.Sprintf("listen = %q\nserver_port = 1\n[servers]\n", b.Flight)
+	for _, d := range b.Databases {
+		if d.Flight != "" {
+			flight += fmt.Sprintf("%s = %q\n", d.ID, d.Flight)
+		}
+	}
+	b.process = exec.Command(Binary(t))
+	b.process.Env = append(os.Environ(), "GW_CONFIG="+write("config.json", string(config)),
+		"CAPERCOVE_FLIGHT="+write("flight.toml", flight))
+	b.log = &output{}
+	b.process.Stderr = b.log
+	b.exited = make(chan error, 1)
+	require.NoError(t, b.process.Start())
+	go func() { b.exited <- b.process.Wait() }()
+	t.Cleanup(func() {
+		b.process.Process.Kill()
+		if t.Failed() {
+			t.Log(b.log.String())
+		}
+	})
+	b.Eventually(func() bool {
+		c, err := net.Dial("tcp", b.Addr)
+		if err == nil {
+			c.Close()
+		}
+		return err == nil
+	}, "the program listens")
+	require.Equal(t, pg.Reply{Complete: true}, b.Client().Ask(""))
+	return b
+}
+
+// Eventually waits for something that must happen.
+func (b *Bed) Eventually(f func() bool, what string) {
+	b.T.Helper()
+	require.Eventually(b.T, f, Patience, 5*time.Millisecond, what)
+}
+
+// Signal sends a signal to the program.
+func (b *Bed) Signal(s syscall.Signal) { require.NoError(b.T, b.process.Process.Signal(s)) }
+
+// Wait waits for the program's end.
+func (b *Bed) Wait() error {
+	select {
+	case err := <-b.exited:
+		return err
+	case <-time.After(Patience):
+		require.Fail(b.T, "the program does not end")
+		return nil
+	}
+}
+
+// Counters is the line that the program prints on SIGUSR1 and at its end.
+type Counters struct {
+	Message string
+	Core    struct {
+		Fronts   map[string]Answers
+		Attempts int
+	}
+}
+
+// Answers are the program's counts of one front.
+type Answers struct{ Taken, Served, Refused, Failed, Gone int }
+
+// Counters asks the program for its counters until they satisfy.
+func (b *Bed) Counters(enough func(Counters) bool) (c Counters) {
+	b.Eventually(func() bool {
+		b.log.Reset()
+		b.Signal(syscall.SIGUSR1)
+		time.Sleep(20 * time.Millisecond)
+		for _, line := range strings.Split(b.log.String(), "\n") {
+			if json.Unmarshal([]byte(line), &c) == nil && c.Message == "counters" && enough(c) {
+				return true
+			}
+		}
+		return false
+	}, "the counters")
+	return c
+}
+
+// Log is what the program has printed.
+func (b *Bed) Log() string { return b.log.String() }
+
+// Statement is one with a comment. The key says what the databases do with it, see Database.
+func (b *Bed) Statement(class, key string, wait time.Duration) string {
+	b.ids++
+	return fmt.Sprintf("SELECT val FROM state WHERE uid = '%s' /* id=%08x,c=%s,d=%d,cluster=3 */", key, b.ids,
+		class, wait.Milliseconds())
+}
+
+// List tells discovery of a change.
+func (b *Bed) List(entries ...discovery.Entry) {
+	b.revision++
+	b.changes <- discovery.List{Revision: b.revision, Members: entries}
+}
+
+// Entry is how a database stands in the list.
+func (b *Bed) Entry(i int, phase string) discovery.Entry { return b.Databases[i].entry(phase) }
+
+func (b *Bed) serveList(w http.ResponseWriter, r *http.Request) {
+	w.WriteHeader(http.StatusOK)
+	for {
+		w.(http.Flusher).Flush()
+		select {
+		case l := <-b.changes:
+			json.NewEncoder(w).Encode(l)
+		case <-time.After(time.Second):
+			w.Write([]byte("\n"))
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// Client is a client of the PostgreSQL wire.
+type Client struct {
+	net.Conn
+	t       *testing.T
+	link    *pg.Link
+	replies []pg.Reply
+}
+
+// Dial connects and sends nothing.
+func (b *Bed) Dial() net.Conn {
+	conn, err := net.Dial("tcp", b.Addr)
+	require.NoError(b.T, err)
+	b.T.Cleanup(func() { conn.Close() })
+	return conn
+}
+
+// Client connects and starts.
+func (b *Bed) Client() *Client {
+	c := &Client{Conn: b.Dial(), t: b.T, link: pg.NewLink(1 << 20)}
+	c.Send(pg.AppendStartup(nil, "client", "core"))
+	require.Empty(b.T, c.Next().Code)
+	return c
+}
+
+// Send writes bytes.
+func (c *Client) Send(b []byte) {
+	_, err := c.Write(b)
+	require.NoError(c.t, err)
+}
+
+// Next reads the next answer.
+func (c *Client) Next() pg.Reply {
+	c.t.Helper()
+	buf := make([]byte, 64<<10)
+	for len(c.replies) == 0 {
+		c.SetReadDeadline(time.Now().Add(Patience))
+		n, err := c.Read(buf)
+		require.NoError(c.t, err)
+		replies, err := c.link.Feed(buf[:n])
+		require.NoError(c.t, err)
+		c.replies = append(c.replies, replies...)
+	}
+	r := c.replies[0]
+	c.replies = c.replies[1:]
+	return r
+}
+
+// Ask sends a statement and reads its answer.
+func (c *Client) Ask(sql string) pg.Reply {
+	c.t.Helper()
+	c.Send(pg.AppendQuery(nil, sql))
+	return c.Next()
+}
+
+var (
+	build  sync.Once
+	binary string
+	failed error
+)
+
+// Binary builds the program once a test process and returns its path.
+func Binary(t *testing.T) string {
+	build.Do(func() {
+		dir, err := os.MkdirTemp("", "capercove")
+		if err != nil {
+			failed = err
+			return
+		}
+		binary = filepath.Join(dir, "capercove")
+		if out, err := exec.Command("go", "build", "-o", binary, "capercove/cmd/capercove").CombinedOutput(); err != nil {
+			failed = fmt.Errorf("%w: %s", err, out)
+		}
+	})
+	require.NoError(t, failed)
+	return binary
+}
+
+// free returns an address on which nothing listens.
+func free(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// output collects what the program prints.
+type output struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (o *output) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.b.Write(p)
+}
+
+func (o *output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.b.String()
+}
+
+func (o *output) Reset() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.b.Reset()
+}
