--- a/choice/api.go
+++ b/choice/api.go
@@ -79,7 +79,6 @@
 	CanCancel     bool
 	CanProbe      bool
 	CanHedge      bool // two attempts of one request may be out at once
-	CanRetryAfter bool
 	DrainGrace    time.Duration
 	DrainOnly     bool          // only a listing as draining binds; a node listed as gone may be tried
 	ColdShare     float64       // share of its capacity at which a node starts at the least
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -507,15 +507,13 @@
 	}
 }
 
-// giveUp gives the final answer at once: refused where a retry is known to be harmless, failed elsewhere.
-func (r *Router) giveUp(q *request, retryAfter time.Duration) {
+// giveUp gives the final answer at once: refused where a retry is known to be harmless, failed elsewhere. A
+// refused client is told to come back after the aim: sooner it would find the same crowd, or no primary yet.
+func (r *Router) giveUp(q *request) {
 	harmless := q.class.Effect == Safe || !q.mayRun ||
 		q.class.Effect == Keyed && q.class.DedupGroup == DedupAll
 	if harmless {
-		if !r.set.CanRetryAfter {
-			retryAfter = 0
-		}
-		r.emit(Action{Kind: Refuse, Request: q.id, After: min(retryAfter, r.set.MaxRetryAfter)})
+		r.emit(Action{Kind: Refuse, Request: q.id, After: min(q.class.Aim, r.set.MaxRetryAfter)})
 	} else {
 		r.emit(Action{Kind: Fail, Request: q.id})
 	}
@@ -563,7 +561,7 @@
 	}
 	full := o.Status == NodeFull && q.class.Read != Write // Where one is full, all may be: no storm.
 	if full && r.extra < 1 || q.mayRun && q.class.Effect == Unsafe || r.now >= q.deadline {
-		r.giveUp(q, q.class.Aim)
+		r.giveUp(q)
 		return nil
 	}
 	if full {
@@ -657,7 +655,7 @@
 		return
 	}
 	if q.group == nil || len(q.tries) >= r.set.MaxAttempts || r.now >= q.deadline-2*tickEvery {
-		r.giveUp(q, 0)
+		r.giveUp(q)
 		return
 	}
 	if q.class.Read == Write {
@@ -672,11 +670,11 @@
 		return
 	}
 	if q.class.LateWorth == 0 && r.now >= q.arrived+r.aim(q) {
-		r.giveUp(q, 0)
+		r.giveUp(q)
 	} else if n, shed := r.chooseRead(q); n != nil {
 		r.send(q, n)
 	} else if shed {
-		r.giveUp(q, q.class.Aim)
+		r.giveUp(q)
 	}
 }
 
@@ -834,7 +832,7 @@
 		case q.out == 0:
 			r.place(q)
 		case r.now >= q.deadline:
-			r.giveUp(q, 0)
+			r.giveUp(q)
 		default:
 			r.overdue(q)
 		}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -20,7 +20,7 @@
 
 func settings() Settings {
 	return Settings{Routers: 1, MaxAttempts: 6, MaxRetryAfter: time.Second, CanCancel: true,
-		CanProbe: true, CanHedge: true, CanRetryAfter: true, DrainGrace: time.Second, ColdShare: 0.2,
+		CanProbe: true, CanHedge: true, DrainGrace: time.Second, ColdShare: 0.2,
 		ColdTime: 10 * time.Second, FallMultiple: 3, FallWindow: 2 * time.Second, OverQuota: 0.1,
 		Classes: []Class{
 			classAny:     {Read: AnyRead, Aim: 200 * ms, Deadline: time.Second, Worth: 1, LateWorth: 0.2},
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -45,7 +45,6 @@
 		SendCap       int    `json:"sendCap"`
 		MaxRetryAfter millis `json:"maxRetryAfterMs"`
 		Probes        bool   `json:"probes"`
-		RetryAfter    bool   `json:"retryAfter"`
 		SecondCopies  bool   `json:"secondCopies"`
 		Connect       millis `json:"connectTimeoutMs"`
 		Keepalive     millis `json:"keepaliveMs"`
@@ -112,7 +111,7 @@
 			"pushed": false, "on_request": true}, &err),
 		MaxAttempts: s.Allowed.SendCap, MaxRetryAfter: s.Allowed.MaxRetryAfter.time(),
 		CanCancel: s.Allowed.Cancel, CanProbe: s.Allowed.Probes, CanHedge: s.Allowed.SecondCopies,
-		CanRetryAfter: s.Allowed.RetryAfter, DrainGrace: s.Rules.DrainGrace.time(), DrainOnly: s.Rules.DrainBindsAlone,
+		DrainGrace: s.Rules.DrainGrace.time(), DrainOnly: s.Rules.DrainBindsAlone,
 		ColdShare: s.Rules.ColdFrom, ColdTime: s.Rules.Cold.time(), FallMultiple: s.Rules.TipMultiple,
 		FallWindow: s.Rules.Fall.time(),
 	}
