Close idle connections that speak unasked; notice a silent watch after 3.2 s; Makefile

Checked by reading: bytes that came on an idle connection were kept and would have been taken for the start of the next answer (pool.go, traffic).

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,16 @@
+.PHONY: build test lint run
+
+build: # what the platform builds
+	mkdir -p bin && go build -o bin/ ./cmd/...
+
+test: # all tests; those of internal/net, internal/flight and so on start the program
+	go test -count=1 ./...
+
+lint: # format, vet, and the limits of the decision module
+	@test -z "$$(gofmt -l .)" || { gofmt -l .; exit 1; }
+	go vet ./...
+	@expand -t 4 choice/choice.go | awk 'NF { n++ } length($$0) > 110 { print "over 110 columns: line " NR; bad = 1 } \
+	    END { print "choice.go: " n " lines"; exit bad || n > 850 }'
+
+run: build # one pooler; GW_CONFIG names its configuration
+	exec bin/capercove
--- a/internal/flight/flight_test.go
+++ b/internal/flight/flight_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -86,9 +87,12 @@
 			{"report", "full", "refused"}, {"write", "full", "refused"}, {"write", "fail", "failed"},
 			{"write", "d", "served"}, {"write", "hang", "deadline"}, {"write", "e", "served"},
 		} {
-			const wait = 500 * time.Millisecond
+			wait := 3 * time.Second
+			if r.answer == "refused" || r.answer == "deadline" { // held until then
+				wait = 500 * time.Millisecond
+			}
 			reply := postgres.Ask(b.Statement(r.class, r.key, wait))
-			ctx, err := headers(r.class, "500"), error(nil)
+			ctx, err := headers(r.class, strconv.FormatInt(wait.Milliseconds(), 10)), error(nil)
 			if r.class == "write" {
 				err = arrow.update(ctx, r.key)
 			} else {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -71,7 +71,7 @@
 		ServerIdle:     keepalive * 3 / 4,
 		Startup:        10 * time.Second,
 		WatchAnswer:    2500 * time.Millisecond,
-		WatchSilence:   5 * time.Second,
+		WatchSilence:   3200 * time.Millisecond, // a line comes every 2 s
 		Linger:         750 * time.Millisecond,
 		Stop:           12 * time.Second,
 		LogEvery:       time.Second,
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -14,7 +14,7 @@
 	"capercove/internal/testbed"
 )
 
-const second = time.Second
+const second = time.Second // long enough for any answer that comes at all
 
 // A read's value and statement pass unchanged but for d; a write goes to the primary.
 func TestServed(t *testing.T) {
@@ -172,7 +172,7 @@
 func TestStop(t *testing.T) {
 	b := testbed.Start(t)
 	idle, busy := b.Client(), b.Client()
-	busy.Send(pg.AppendQuery(nil, b.Statement("write", "hang", 1500*time.Millisecond)))
+	busy.Send(pg.AppendQuery(nil, b.Statement("write", "hang", 3*second)))
 	b.Eventually(func() bool { return len(b.Databases[0].Got()) == 1 }, "the write is out")
 	b.Signal(syscall.SIGTERM)
 	_, err := idle.Read(make([]byte, 1))
--- a/internal/net/pool.go
+++ b/internal/net/pool.go
@@ -32,7 +32,7 @@
 
 // PoolCounters count connections to databases.
 type PoolCounters struct {
-	Dials, DialsFailed, Reused, Stale, Expired, Evicted, TooLate, Capped, BadReplies int64
+	Dials, DialsFailed, Reused, Stale, Expired, Evicted, TooLate, Capped, Unasked, BadReplies int64
 }
 
 // server is one database.
@@ -375,6 +375,11 @@
 	if l.dead {
 		return
 	}
+	if l.ready && l.job == nil { // Against serving what came unasked as the answer to the next request.
+		l.pool.Count.Unasked++
+		l.close()
+		return
+	}
 	replies, err := l.pg.Feed(data)
 	for i := range replies {
 		l.reply(&replies[i])
@@ -399,7 +404,8 @@
 		l.ready = true
 		l.server.dialing--
 		l.free()
-	case l.job == nil: // It speaks unasked: a notice of its end.
+	case l.job == nil: // a second answer to one statement
+		l.pool.Count.Unasked++
 		l.close()
 	default:
 		j := l.job
