Add the replicated store and pcap files as a source of traffic, both off on the platform

It holds each pooler's configuration and state, and is neither on a request's path nor read by a decision. pcap: gopacket reads pcap and pcapng and reassembles connections; queries enter the core through the front's own intake, at the file's pace, at most 64 open at once. The writer keeps a connection for each client's and never waits. Bad configuration exits 1 and names its key.

--- a/cmd/capercove/main.go
+++ b/cmd/capercove/main.go
@@ -19,6 +19,8 @@
 	"capercove/internal/flight"
 	"capercove/internal/limits"
 	"capercove/internal/net"
+	"capercove/internal/pcap"
+	"capercove/internal/store"
 )
 
 func main() {
@@ -37,7 +39,10 @@
 	core   *core.Core
 	pool   *net.Pool
 	front  *net.Front
-	flight *flight.Front // nil while it is off
+	flight *flight.Front // nil while it is off, as the next two
+	store  store.Store
+	tap    *pcap.Writer
+	stops  chan struct{} // closed on SIGTERM
 }
 
 func run(log zerolog.Logger) error {
@@ -45,11 +50,15 @@
 	if err != nil {
 		return err
 	}
-	flightFile := os.Getenv("CAPERCOVE_FLIGHT")
-	if flightFile == "" {
-		flightFile = "deploy/flight.toml"
+	flightConfig, err := flight.Load()
+	if err != nil {
+		return err
+	}
+	storeConfig, err := store.Load(cfg.Name)
+	if err != nil {
+		return err
 	}
-	flightConfig, err := flight.Load(flightFile)
+	pcapConfig, err := pcap.Load()
 	if err != nil {
 		return err
 	}
@@ -58,14 +67,22 @@
 	runtime.GOMAXPROCS(2) // One core, but the loop must not wait for a goroutine that sits in a system call.
 	log = log.With().Str("pooler", cfg.Name).Logger()
 
-	p := &program{log: log, limits: l}
+	p := &program{log: log, limits: l, stops: make(chan struct{})}
 	p.driver = net.New(cfg.Listen, l, log, func() {
 		p.core.List(cfg.Known.Entries(cfg.Facts.Zones), true)
 		p.core.Start()
 	})
 	p.core = core.New(cfg.Settings, cfg.Seed, l, log, clock(), func() { p.driver.Do(p.core.Flush) })
 	p.pool = net.NewPool(p.driver, l, log, p.core)
-	p.front = net.NewFront(l, log, p.core, p.pool, cfg.Facts.Classes)
+	intake := net.NewIntake(p.core, p.pool, cfg.Facts.Classes)
+	var tap net.Tap
+	if pcapConfig.Write != "" {
+		if p.tap, err = pcap.NewWriter(pcapConfig, l, log); err != nil {
+			return fmt.Errorf("pcap: write: %w", err)
+		}
+		tap = p.tap
+	}
+	p.front = net.NewFront(l, log, p.core, intake, tap)
 	p.driver.Core, p.driver.Front, p.driver.Pool = p.core, p.front, p.pool
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -88,15 +105,40 @@
 		}()
 	}
 	p.core.Attach(watch, p.pool, watchers...)
+	if storeConfig.Enabled {
+		if p.store, err = store.Open(storeConfig, cfg.Name, l, log); err != nil {
+			return err
+		}
+		p.store.Put("config/"+cfg.Name, cfg.Public())
+		go p.driver.Do(func() { p.keep(cfg.Name) })
+	}
+	if pcapConfig.Read != "" {
+		replay := &pcap.Replay{Config: pcapConfig, Limits: l, Log: log, Core: p.core, Intake: intake,
+			Do: p.driver.Do, Stop: p.stops}
+		go replay.Run()
+	}
 	go p.signals()
 	log.Info().Str("listen", cfg.Listen).Int("members", len(cfg.Known.Members)).Msg("starting")
 	if err := p.driver.Run(); err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
 	p.counters("stopped")
+	if p.tap != nil {
+		p.tap.Close()
+	}
+	if p.store != nil {
+		p.store.Close()
+	}
 	return nil
 }
 
+// keep stores this pooler's state, again and again.
+func (p *program) keep(name string) {
+	p.store.Put("state/"+name, map[string]any{"at": time.Now().UTC(), "open": p.core.Open(),
+		"fronts": p.core.Count.Fronts, "members": p.core.Members()})
+	p.core.Wheel.At(p.core.Now()+p.limits.StoreEvery, func() { p.keep(name) })
+}
+
 // clock counts from the Unix epoch, as positions do, but never jumps.
 func clock() func() time.Duration {
 	start := time.Now()
@@ -123,6 +165,7 @@
 // takes a moment to look elsewhere.
 func (p *program) stop() {
 	p.log.Info().Int("open", p.core.Open()).Msg("stopping")
+	close(p.stops)
 	p.front.Drain()
 	if p.flight != nil {
 		go p.flight.Stop()
@@ -147,5 +190,8 @@
 	if p.flight != nil {
 		line = line.Interface("flight", p.flight.Counts())
 	}
+	if p.store != nil {
+		line = line.Interface("store", p.store.All())
+	}
 	line.Msg(what)
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -26,6 +26,12 @@
 	Facts                   wire.Facts
 }
 
+// Public is what other poolers and operators may read of it.
+func (c Config) Public() map[string]any {
+	return map[string]any{"name": c.Name, "listen": c.Listen, "discovery": c.Discovery, "limits": c.Machine,
+		"classes": c.Facts.Classes, "settings": c.Settings}
+}
+
 // Load reads the configuration. GW_NAME, GW_LISTEN and GW_DISCOVERY go before the file's values.
 func Load() (Config, error) {
 	var file struct {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -4,6 +4,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -150,6 +151,17 @@
 // Class returns the settings of a request's class.
 func (c *Core) Class(i int) *choice.Class { return &c.classes[i] }
 
+// Members returns the names of the databases that are not gone, sorted.
+func (c *Core) Members() (names []string) {
+	for _, m := range c.members {
+		if m.State != choice.Gone {
+			names = append(names, m.Name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // HasGroup tells whether any list has named a database of the group.
 func (c *Core) HasGroup(group int) bool {
 	for _, m := range c.members {
--- a/internal/flight/config.go
+++ b/internal/flight/config.go
@@ -7,13 +7,11 @@
 package flight
 
 import (
-	"errors"
 	"fmt"
 	"net"
-	"os"
 	"strconv"
 
-	"github.com/BurntSushi/toml"
+	"capercove/internal/config"
 )
 
 // Config is deploy/flight.toml.
@@ -23,36 +21,23 @@
 	Servers    map[string]string `toml:"servers"`
 }
 
-// Load reads a configuration. A file that does not exist leaves the front off.
-func Load(path string) (c Config, err error) {
-	text, err := os.ReadFile(path)
-	if errors.Is(err, os.ErrNotExist) {
-		return c, nil
-	}
-	if err != nil {
+// Load reads the configuration.
+func Load() (c Config, err error) {
+	if err := config.File("CAPERCOVE_FLIGHT", "deploy/flight.toml", &c); err != nil {
 		return c, err
 	}
-	meta, err := toml.Decode(string(text), &c)
-	if err != nil {
-		return c, fmt.Errorf("%s: %w", path, err)
-	}
-	if unknown := meta.Undecoded(); len(unknown) > 0 {
-		return c, fmt.Errorf("%s: unknown key %s", path, unknown[0])
+	if c.Listen == "" {
+		return c, nil
 	}
 	if c.ServerPort < 1 || c.ServerPort > 65535 {
-		return c, fmt.Errorf("%s: server_port is %d", path, c.ServerPort)
+		return c, fmt.Errorf("flight: server_port is %d", c.ServerPort)
 	}
 	for id, addr := range c.Servers {
-		if _, _, err := net.SplitHostPort(addr); err != nil {
-			return c, fmt.Errorf("%s: servers.%s: %w", path, id, err)
-		}
-	}
-	if c.Listen != "" {
-		if _, _, err := net.SplitHostPort(c.Listen); err != nil {
-			return c, fmt.Errorf("%s: listen: %w", path, err)
+		if err := config.Address("flight: servers."+id, addr); err != nil {
+			return c, err
 		}
 	}
-	return c, nil
+	return c, config.Address("flight: listen", c.Listen)
 }
 
 // addr is where a database of the list speaks Flight SQL.
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -20,6 +20,12 @@
 	FlightClients int   // connections of Flight clients
 	FlightCalls   int   // Flight calls at once, each of which may hold two messages
 
+	StoreKeys   int // keys of the replicated store
+	StoreValue  int // bytes of one value
+	Replay      int // requests of a pcap file that are open at once
+	ReplayFlows int // connections of a pcap file that are followed at once
+	Tap         int // chunks of clients' traffic that may wait to be written
+
 	Tick           time.Duration // of the timer wheel
 	Slots          int           // of the timer wheel
 	Margin         time.Duration // taken off a client's deadline, for the way back
@@ -32,6 +38,8 @@
 	WatchSilence   time.Duration // a watch that is silent this long is broken
 	Linger         time.Duration // after SIGTERM new connections are served for this long
 	Stop           time.Duration // after SIGTERM the program ends by then at the latest
+	StoreEvery     time.Duration // the state is stored this often
+	StoreWait      time.Duration // for one change of the store
 	LogEvery       time.Duration // at most one line a kind of bad input in this time
 }
 
@@ -62,6 +70,12 @@
 		FlightClients: sockets / 20,
 		FlightCalls:   max(8, int(memory/4/flightMessage)),
 
+		StoreKeys:   1024,
+		StoreValue:  256 << 10,
+		Replay:      64,
+		ReplayFlows: 4096,
+		Tap:         1024,
+
 		Tick:           5 * time.Millisecond,
 		Slots:          1024,
 		Margin:         5 * time.Millisecond,
@@ -74,6 +88,8 @@
 		WatchSilence:   3200 * time.Millisecond, // a line comes every 2 s
 		Linger:         750 * time.Millisecond,
 		Stop:           12 * time.Second,
+		StoreEvery:     2 * time.Second,
+		StoreWait:      2 * time.Second,
 		LogEvery:       time.Second,
 	}
 }
--- a/internal/net/front.go
+++ b/internal/net/front.go
@@ -6,7 +6,6 @@
 	"github.com/panjf2000/gnet/v2"
 	"github.com/rs/zerolog"
 
-	"capercove/choice"
 	"capercove/internal/core"
 	"capercove/internal/limits"
 	"capercove/internal/pg"
@@ -19,8 +18,9 @@
 	limits   limits.Limits
 	log      zerolog.Logger
 	core     *core.Core
-	backend  core.Backend
-	classes  map[string]int
+	intake   *Intake
+	tap      Tap // nil: none
+	opened   uint64
 	clients  map[*client]struct{}
 	draining bool
 	logged   map[string]time.Duration // when each kind of bad input was last logged
@@ -31,19 +31,23 @@
 	Accepted, TurnedAway, Closed, Commands, Bad int64
 }
 
-// NewFront returns a front for classes of these names.
-func NewFront(l limits.Limits, log zerolog.Logger, c *core.Core, b core.Backend, classes []string) *Front {
-	f := &Front{limits: l, log: log, core: c, backend: b, classes: map[string]int{},
-		clients: map[*client]struct{}{}, logged: map[string]time.Duration{}}
-	for i, name := range classes {
-		f.classes[name] = i
-	}
-	return f
+// Tap sees what clients send. It is called on the loop and must not wait; the bytes are its own only until it
+// returns.
+type Tap interface {
+	Bytes(connection uint64, data []byte)
+	Closed(connection uint64)
+}
+
+// NewFront returns a front. The tap may be nil.
+func NewFront(l limits.Limits, log zerolog.Logger, c *core.Core, in *Intake, tap Tap) *Front {
+	return &Front{limits: l, log: log, core: c, intake: in, tap: tap, clients: map[*client]struct{}{},
+		logged: map[string]time.Duration{}}
 }
 
 // client is one client connection. Answers wait in slots for those before them.
 type client struct {
 	front   *Front
+	number  uint64
 	conn    gnet.Conn
 	session *pg.Session
 	slots   []*slot
@@ -72,6 +76,8 @@
 		return k
 	}
 	f.Count.Accepted++
+	f.opened++
+	k.number = f.opened
 	k.used = !f.draining
 	f.clients[k] = struct{}{}
 	// Against connections that are opened and never used.
@@ -87,6 +93,9 @@
 	if k.ending {
 		return
 	}
+	if k.front.tap != nil {
+		k.front.tap.Bytes(k.number, data)
+	}
 	k.session.Feed(data)
 	k.read()
 }
@@ -121,32 +130,18 @@
 	if c.Query == "" {
 		return
 	}
-	q, err := pg.ParseQuery(c.Query)
-	class, known := f.classes[q.Class]
-	switch {
-	case pg.Harmless(c.Query):
+	if pg.Harmless(c.Query) {
 		s.answer = pg.AppendReady(pg.AppendComplete(nil, c.Query))
-	case err != nil:
-		s.answer = pg.AppendFailure(nil, pg.CodeSyntax, err.Error())
-		f.bad(err.Error())
-	case !known:
-		s.answer = pg.AppendFailure(nil, pg.CodeBadValue, "unknown class")
-		f.bad("unknown class")
-	case !q.HasGroup:
-		s.answer = pg.AppendFailure(nil, pg.CodeBadValue, "no cluster is named")
-		f.bad("no cluster is named")
-	case !f.core.HasGroup(q.Group):
-		s.answer = pg.AppendFailure(nil, pg.CodeBadValue, "unknown cluster")
-		f.bad("unknown cluster")
-	default:
-		s.ready = false
-		s.request = &core.Request{Front: "postgres", Class: class, Group: q.Group, Expires: q.Wait, LastWrite: q.After,
-			Payload: &q, Backend: f.backend, Client: s}
-		if kind := f.core.Class(class).Read; kind == choice.Write || kind == choice.SessionRead {
-			s.request.Session = q.Key
-		}
-		f.core.Submit(s.request)
+		return
 	}
+	q, code, why := f.intake.Request("postgres", c.Query)
+	if q == nil {
+		s.answer = pg.AppendFailure(nil, code, why)
+		f.bad(why)
+		return
+	}
+	s.ready, s.request, q.Client = false, q, s
+	f.core.Submit(q)
 }
 
 // bad logs bad input, at most one line a kind and period.
@@ -229,6 +224,9 @@
 	k.gone, k.ending = true, true
 	k.startup.Stop()
 	k.front.Count.Closed++
+	if k.front.tap != nil {
+		k.front.tap.Closed(k.number)
+	}
 	delete(k.front.clients, k)
 	for _, s := range k.slots {
 		if s.request != nil && !s.ready {
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -180,5 +180,5 @@
 	require.True(t, b.Client().Ask(b.Statement("report", "a", second)).Complete, "a new one is served")
 	require.Equal(t, pg.CodeQueryCanceled, busy.Next().Code, "what was taken is finished")
 	require.NoError(t, b.Wait())
-	require.Contains(t, b.Log(), `"postgres":{"Taken":2,"Served":1,"Refused":0,"Failed":1,"Gone":0}`)
+	require.Contains(t, b.Line("stopped"), `"postgres":{"Taken":2,"Served":1,"Refused":0,"Failed":1,"Gone":0}`)
 }
--- /dev/null
+++ b/internal/pcap/writer.go
@@ -0,0 +1,148 @@
+package pcap
+
+import (
+	"bufio"
+	"net"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/gopacket"
+	"github.com/google/gopacket/layers"
+	"github.com/google/gopacket/pcapgo"
+	"github.com/rs/zerolog"
+
+	"capercove/internal/limits"
+)
+
+// segment is the most that one packet of a file holds.
+const segment = 32 << 10
+
+// Writer writes what clients send to a pcap file, a TCP connection for each client's. It implements net.Tap. It
+// never waits for the file: what does not fit the queue is dropped, and that connection with it.
+type Writer struct {
+	log     zerolog.Logger
+	port    layers.TCPPort
+	file    *os.File
+	buffer  *bufio.Writer
+	pcap    *pcapgo.Writer
+	queue   chan chunk
+	done    chan struct{}
+	flows   map[uint64]uint32 // the next sequence number of each connection
+	lost    map[uint64]bool   // connections with a hole; on the loop
+	dropped atomic.Int64
+}
+
+type chunk struct {
+	connection uint64
+	at         time.Time
+	data       []byte // nil: the connection has closed
+}
+
+// NewWriter creates the file.
+func NewWriter(cfg Config, l limits.Limits, log zerolog.Logger) (*Writer, error) {
+	f, err := os.Create(cfg.Write)
+	if err != nil {
+		return nil, err
+	}
+	buffer := bufio.NewWriter(f)
+	w := &Writer{log: log, port: layers.TCPPort(cfg.Port), file: f, buffer: buffer, pcap: pcapgo.NewWriter(buffer),
+		queue: make(chan chunk, l.Tap), done: make(chan struct{}), flows: map[uint64]uint32{},
+		lost: map[uint64]bool{}}
+	if err := w.pcap.WriteFileHeader(1<<18, layers.LinkTypeRaw); err != nil {
+		return nil, err
+	}
+	go w.run()
+	return w, nil
+}
+
+func (w *Writer) Bytes(connection uint64, data []byte) {
+	if w.lost[connection] {
+		return
+	}
+	select {
+	case w.queue <- chunk{connection, time.Now(), append([]byte{}, data...)}:
+	default:
+		w.dropped.Add(1)
+		w.lost[connection] = true
+	}
+}
+
+func (w *Writer) Closed(connection uint64) {
+	delete(w.lost, connection)
+	select {
+	case w.queue <- chunk{connection, time.Now(), nil}:
+	default: // the connection stays open in the file
+	}
+}
+
+// Close writes what waits and ends the file. Nothing may be tapped any more.
+func (w *Writer) Close() {
+	close(w.queue)
+	<-w.done
+}
+
+func (w *Writer) run() {
+	defer close(w.done)
+	var err error
+	for c := range w.queue {
+		if err == nil {
+			err = w.chunk(c)
+		}
+		if err == nil && len(w.queue) == 0 {
+			err = w.buffer.Flush()
+		}
+	}
+	if err == nil {
+		err = w.buffer.Flush()
+	}
+	if closing := w.file.Close(); err == nil {
+		err = closing
+	}
+	w.log.Info().Err(err).Str("file", w.file.Name()).Int64("dropped", w.dropped.Load()).Msg("pcap: written")
+}
+
+func (w *Writer) chunk(c chunk) error {
+	next, open := w.flows[c.connection]
+	if !open {
+		if c.data == nil {
+			return nil
+		}
+		if err := w.packet(c, layers.TCP{SYN: true}, nil); err != nil {
+			return err
+		}
+		next = 1
+	}
+	if c.data == nil {
+		delete(w.flows, c.connection)
+		return w.packet(c, layers.TCP{FIN: true, ACK: true, Seq: next}, nil)
+	}
+	for data := c.data; len(data) > 0; {
+		part := data[:min(len(data), segment)]
+		data = data[len(part):]
+		if err := w.packet(c, layers.TCP{PSH: true, ACK: true, Seq: next}, part); err != nil {
+			return err
+		}
+		next += uint32(len(part))
+	}
+	w.flows[c.connection] = next
+	return nil
+}
+
+// packet writes one packet. The connection's number is in the client's address and port.
+func (w *Writer) packet(c chunk, tcp layers.TCP, data []byte) error {
+	n := c.connection
+	ip := &layers.IPv4{Version: 4, TTL: 64, Protocol: layers.IPProtocolTCP,
+		SrcIP: net.IPv4(127, 1, byte(n>>24), byte(n>>16)), DstIP: net.IPv4(127, 0, 0, 1)}
+	tcp.SrcPort, tcp.DstPort, tcp.Window = layers.TCPPort(n), w.port, 65535
+	if err := tcp.SetNetworkLayerForChecksum(ip); err != nil {
+		return err
+	}
+	out := gopacket.NewSerializeBuffer()
+	options := gopacket.SerializeOptions{FixLengths: true, ComputeChecksums: true}
+	if err := gopacket.SerializeLayers(out, options, ip, &tcp, gopacket.Payload(data)); err != nil {
+		return err
+	}
+	size := len(out.Bytes())
+	return w.pcap.WritePacket(gopacket.CaptureInfo{Timestamp: c.at, CaptureLength: size, Length: size}, out.Bytes())
+}
--- a/internal/pg/session.go
+++ b/internal/pg/session.go
@@ -30,6 +30,9 @@
 
 func NewSession(maxMessage int) *Session { return &Session{in: framer{limit: maxMessage}} }
 
+// Resume takes a connection that has started already.
+func (s *Session) Resume() { s.started = true }
+
 // Started tells whether the startup message has come.
 func (s *Session) Started() bool { return s.started }
 
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -48,6 +48,8 @@
 	Databases []*Database
 	Known     []discovery.Entry
 
+	name      string
+	files     map[string]string // text of the project's own files by variable
 	process   *exec.Cmd
 	exited    chan error
 	log       *output
@@ -62,18 +64,25 @@
 
 // WithFlight turns the Flight SQL front and the databases' own on.
 func WithFlight(b *Bed) {
-	b.Flight = free(b.T)
+	b.Flight = Free(b.T)
 	for _, d := range b.Databases {
 		d.serveFlight()
 	}
 }
 
+// WithName names the pooler; it is n0 otherwise.
+func WithName(name string) Option { return func(b *Bed) { b.name = name } }
+
+// WithFile gives the program one of the files of deploy/, by the variable that names it.
+func WithFile(variable, text string) Option { return func(b *Bed) { b.files[variable] = text } }
+
 // WithoutDiscovery starts the program while discovery is down.
 func WithoutDiscovery(b *Bed) { b.discovery.Listener.Close() }
 
 // Start runs the program with a primary, db-0, and one replica, db-1, of group 3.
 func Start(t *testing.T, options ...Option) *Bed {
-	b := &Bed{T: t, Addr: free(t), changes: make(chan discovery.List, 16), revision: 1}
+	b := &Bed{T: t, Addr: Free(t), changes: make(chan discovery.List, 16), revision: 1,
+		name: "n0", files: map[string]string{}}
 	b.discovery = httptest.NewServer(http.HandlerFunc(b.serveList))
 	t.Cleanup(b.discovery.Close)
 	for i := range 2 {
@@ -90,7 +99,7 @@
 		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
 		return path
 	}
-	config, err := json.Marshal(map[string]any{"name": "n0", "listen": b.Addr, "seed": "8c1f30d27a5be964",
+	config, err := json.Marshal(map[string]any{"name": b.name, "listen": b.Addr, "seed": "8c1f30d27a5be964",
 		"discovery": b.discovery.Listener.Addr().String(),
 		"limits":    map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
 		"known":     discovery.List{Revision: b.revision, Complete: true, Members: b.Known},
@@ -98,13 +107,14 @@
 	require.NoError(t, err)
 	flight := fmt.Sprintf("listen = %q\nserver_port = 1\n[servers]\n", b.Flight)
 	for _, d := range b.Databases {
-		if d.Flight != "" {
-			flight += fmt.Sprintf("%s = %q\n", d.ID, d.Flight)
-		}
+		flight += fmt.Sprintf("%s = %q\n", d.ID, d.Flight)
 	}
+	b.files["CAPERCOVE_FLIGHT"] = flight
 	b.process = exec.Command(Binary(t))
-	b.process.Env = append(os.Environ(), "GW_CONFIG="+write("config.json", string(config)),
-		"CAPERCOVE_FLIGHT="+write("flight.toml", flight))
+	b.process.Env = append(os.Environ(), "GW_CONFIG="+write("config.json", string(config)))
+	for variable, text := range b.files {
+		b.process.Env = append(b.process.Env, variable+"="+write(variable, text))
+	}
 	b.log = &output{}
 	b.process.Stderr = b.log
 	b.exited = make(chan error, 1)
@@ -175,8 +185,15 @@
 	return c
 }
 
-// Log is what the program has printed.
-func (b *Bed) Log() string { return b.log.String() }
+// Line returns the first line that the program has printed with a text in it, or nothing.
+func (b *Bed) Line(with string) string {
+	for _, line := range strings.Split(b.log.String(), "\n") {
+		if strings.Contains(line, with) {
+			return line
+		}
+	}
+	return ""
+}
 
 // Statement is one with a comment. The key says what the databases do with it, see Database.
 func (b *Bed) Statement(class, key string, wait time.Duration) string {
@@ -286,8 +303,8 @@
 	return binary
 }
 
-// free returns an address on which nothing listens.
-func free(t *testing.T) string {
+// Free returns an address on which nothing listens.
+func Free(t *testing.T) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer l.Close()
