Bound what clients may send ahead or leave unread; never drop an answer's rest at a close

Found by reading: gnet's close drops what the socket does not take at once, so an answer to a slow client could be cut at SIGTERM (front.go, end); up to 32 pipelined answers of 64 KiB went over the output bound and closed a client that had done nothing wrong. Now 8 commands wait at most, a client that does not read is read no further, and all clients together may hold a third of the memory. A timer stopped in the tick that it was due in no longer fires.

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -13,6 +13,8 @@
 	Requests      int   // requests open at once; a further one is refused
 	Pipeline      int   // commands of one client connection that await their answers
 	MessageBytes  int   // longest message taken from a client or a database
+	InputBytes    int   // bytes that a client may send ahead of its answers before it is closed
+	ClientBytes   int   // what all clients' connections may hold of both; the next to add to it is closed
 	OutputBytes   int   // answers that a client may leave unread before it is closed
 	Members       int   // entries of a list
 	ListBytes     int   // one list, or one line of a watch
@@ -61,8 +63,10 @@
 		Servers:       sockets * 3 / 10,
 		IdleEach:      24,
 		Requests:      20000,
-		Pipeline:      32,
+		Pipeline:      8,
 		MessageBytes:  256 << 10,
+		InputBytes:    2 << 20,
+		ClientBytes:   int(memory / 3),
 		OutputBytes:   1 << 20,
 		Members:       4096,
 		ListBytes:     4 << 20,
--- a/internal/net/front.go
+++ b/internal/net/front.go
@@ -9,6 +9,7 @@
 	"capercove/internal/core"
 	"capercove/internal/limits"
 	"capercove/internal/pg"
+	"capercove/internal/wheel"
 )
 
 // Front serves the clients of the PostgreSQL wire.
@@ -23,6 +24,7 @@
 	opened   uint64
 	clients  map[*client]struct{}
 	draining bool
+	held     int                      // bytes that the connections hold
 	logged   map[string]time.Duration // when each kind of bad input was last logged
 }
 
@@ -51,7 +53,11 @@
 	conn    gnet.Conn
 	session *pg.Session
 	slots   []*slot
-	startup interface{ Stop() }
+	startup *wheel.Timer
+	timer   *wheel.Timer  // of later
+	closing bool          // it ends when all has gone out,
+	endBy   time.Duration // or then
+	held    int
 	ending  bool // nothing more is read
 	used    bool // it has had an answer, or was there before the front drained
 	gone    bool
@@ -101,6 +107,11 @@
 }
 
 func (k *client) read() {
+	// Against a client that asks on and on and does not read: its next commands wait.
+	if !k.gone && k.conn.OutboundBuffered() > k.front.limits.OutputBytes/4 {
+		k.check()
+		return
+	}
 	for !k.ending && len(k.slots) < k.front.limits.Pipeline {
 		command, ok := k.session.Next()
 		if !ok {
@@ -108,12 +119,6 @@
 		}
 		k.command(command)
 	}
-	// Against a client that sends on and on behind a full pipeline.
-	if !k.ending && len(k.slots) >= k.front.limits.Pipeline && k.session.Held() > 2*k.front.limits.MessageBytes {
-		k.front.bad("more queries than may wait")
-		closeNow(k.conn)
-		return
-	}
 	k.flush()
 }
 
@@ -123,7 +128,7 @@
 	k.used = k.used || c.Query != ""
 	s := &slot{client: k, answer: c.Reply, ready: true, last: c.Close}
 	k.slots = append(k.slots, s)
-	k.ending = c.Close
+	k.ending = k.ending || c.Close
 	if c.Bad != "" {
 		f.bad(c.Bad)
 	}
@@ -190,39 +195,82 @@
 	if len(out) > 0 {
 		k.conn.Write(out)
 	}
-	switch {
-	case k.gone: // the write found it closed
+	if k.gone { // the write found it closed
+		return
+	}
 	// Against closing a connection that was opened meanwhile before its first query: a client whose query
 	// crosses a close sends it once more, and that may already have been its second.
-	case last || k.front.draining && k.used && k.idle():
+	if last || k.front.draining && k.used && k.idle() {
 		k.end()
-	case k.conn.OutboundBuffered() > k.front.limits.OutputBytes: // Against a client that does not read.
-		k.front.bad("answers are not read")
+		return
+	}
+	k.check()
+}
+
+// check keeps the connection within bounds. Against a client that does not read, or sends on and on, and against
+// all of them together.
+func (k *client) check() {
+	l := &k.front.limits
+	unread, ahead := k.conn.OutboundBuffered(), k.session.Held()
+	k.weigh(unread + ahead)
+	switch {
+	case unread > l.OutputBytes || ahead > l.InputBytes || k.front.held > l.ClientBytes && k.held > 0:
+		k.front.bad("more is sent or left unread than is held")
 		closeNow(k.conn)
+	case unread > 0:
+		k.later()
 	}
 }
 
+// weigh notes how many bytes the connection holds.
+func (k *client) weigh(bytes int) {
+	k.front.held += bytes - k.held
+	k.held = bytes
+}
+
 // idle tells whether the connection is between requests: nothing owed, nothing unread.
 func (k *client) idle() bool {
 	return len(k.slots) == 0 && k.session.Started() && k.session.Held() == 0 && silent(k.conn)
 }
 
-// end closes the connection once all that was written has gone out.
+// end closes the connection once all that was written has gone out: gnet would drop what the socket does not
+// take at once. A client that does not read has a while for it.
 func (k *client) end() {
-	k.ending = true
-	if k.conn.OutboundBuffered() == 0 {
+	now := k.front.core.Now()
+	if !k.closing {
+		k.closing, k.ending = true, true
+		k.endBy = now + k.front.limits.Startup
+	}
+	if k.conn.OutboundBuffered() == 0 || now > k.endBy {
 		closeNow(k.conn)
 	} else {
-		k.conn.Close()
+		k.later()
 	}
 }
 
+// later looks at the connection again in a few ticks: gnet does not tell when what was written has gone out.
+func (k *client) later() {
+	if k.timer != nil {
+		return
+	}
+	k.timer = k.front.core.Wheel.At(k.front.core.Now()+4*k.front.limits.Tick, func() {
+		k.timer = nil
+		if k.closing {
+			k.end()
+		} else {
+			k.read()
+		}
+	})
+}
+
 func (k *client) closed(error) {
 	if k.gone {
 		return
 	}
 	k.gone, k.ending = true, true
 	k.startup.Stop()
+	k.timer.Stop()
+	k.weigh(0)
 	k.front.Count.Closed++
 	if k.front.tap != nil {
 		k.front.tap.Closed(k.number)
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -182,3 +182,18 @@
 	require.NoError(t, b.Wait())
 	require.Contains(t, b.Line("stopped"), `"postgres":{"Taken":2,"Served":1,"Refused":0,"Failed":1,"Gone":0}`)
 }
+
+// A client that sends on and on behind an answer that is still out is closed, and the others are served.
+func TestClientThatSendsOn(t *testing.T) {
+	b := testbed.Start(t)
+	bad := b.Client()
+	bad.Send(pg.AppendQuery(nil, b.Statement("write", "hang", 3*second)))
+	more := pg.AppendQuery(nil, b.Statement("write", strings.Repeat("x", 100<<10), second))
+	var err error
+	for i := 0; err == nil && i < 1000; i++ {
+		_, err = bad.Write(more)
+	}
+	require.Error(t, err)
+	require.NotEmpty(t, b.Line("more is sent"))
+	require.True(t, b.Client().Ask(b.Statement("write", "a", second)).Complete)
+}
--- a/internal/wheel/wheel.go
+++ b/internal/wheel/wheel.go
@@ -35,11 +35,19 @@
 	return t
 }
 
-// Stop takes a timer back. Stopping one twice, one that has fired, or nil does nothing.
+// Stop takes a timer back, also one that is due in the Advance that runs. Stopping one twice, one that has fired,
+// or nil does nothing.
 func (t *Timer) Stop() {
-	if t != nil && t.next != nil {
+	if t != nil {
+		t.unlink()
+		t.call = nil
+	}
+}
+
+func (t *Timer) unlink() {
+	if t.next != nil {
 		t.prev.next, t.next.prev = t.next, t.prev
-		t.prev, t.next, t.call = nil, nil, nil
+		t.prev, t.next = nil, nil
 	}
 }
 
@@ -51,17 +59,20 @@
 	w.done = max(w.done, last)
 	for tick := from; tick <= last; tick++ {
 		head := &w.slots[tick%int64(len(w.slots))]
-		var due []func()
+		var due []*Timer
 		for t := head.next; t != head; {
 			next := t.next
 			if t.tick <= last {
-				due = append(due, t.call)
-				t.Stop()
+				due = append(due, t)
+				t.unlink()
 			}
 			t = next
 		}
-		for _, call := range due {
-			call()
+		for _, t := range due {
+			if call := t.call; call != nil { // Against firing what a call before it has stopped.
+				t.call = nil
+				call()
+			}
 		}
 	}
 }
