Start on an address that connections of an ended program still hold

Ruled out: a left-over process (none ran). The check is gone (driver.go, Run); a planned restart would have failed the same way. TestStartAgain shows it.

--- a/internal/net/driver.go
+++ b/internal/net/driver.go
@@ -40,14 +40,9 @@
 
 // Run serves until Stop.
 func (d *Driver) Run() error {
-	// Against a second program on the same address, which reuse of the port would let in.
-	l, err := net.Listen("tcp", d.listen)
-	if err != nil {
-		return err
-	}
-	l.Close()
-	// With reuse of the port and one loop, gnet accepts on that loop too, with no second goroutine.
-	return gnet.Run(d, "tcp://"+d.listen, gnet.WithNumEventLoop(1), gnet.WithReusePort(true),
+	// With reuse of the port and one loop, gnet accepts on that loop too, with no second goroutine. The address
+	// must not be tried beforehand without reuse: connections of a program that has just ended still hold it.
+	return gnet.Run(d, "tcp://"+d.listen, gnet.WithNumEventLoop(1), gnet.WithReusePort(true), gnet.WithReuseAddr(true),
 		gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithLogger(quiet{d.log}))
 }
 
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -197,3 +197,17 @@
 	require.NotEmpty(t, b.Line("more is sent"))
 	require.True(t, b.Client().Ask(b.Statement("write", "a", second)).Complete)
 }
+
+// A program that has ended leaves connections behind that still hold its address; the next one starts there.
+func TestStartAgain(t *testing.T) {
+	b := testbed.Start(t)
+	for _, end := range []syscall.Signal{syscall.SIGTERM, syscall.SIGKILL} {
+		for range 3 {
+			require.True(t, b.Client().Ask(b.Statement("write", "a", second)).Complete)
+		}
+		b.Signal(end)
+		b.Wait()
+		b.Run()
+	}
+	require.True(t, b.Client().Ask(b.Statement("write", "b", second)).Complete)
+}
