--- a/choice/choice.go
+++ b/choice/choice.go
@@ -108,6 +108,7 @@
 	class             *Class
 	group             *group
 	arrived, deadline time.Duration
+	letGo             time.Duration // held no longer: half its time until it has reached a node
 	worth             float64       // as a share of the dearest class's
 	need              time.Duration // position that a session or fresh read must see
 	tries             []attempt
@@ -471,7 +472,7 @@
 func (r *Router) arrive(id RequestID, a *Arrival) *request {
 	class := &r.set.Classes[a.Class]
 	q := &request{id: id, Arrival: *a, class: class, group: r.groupOf(a.Group), arrived: r.now,
-		deadline: r.now + a.Expires, worth: class.Worth / r.topWorth}
+		deadline: r.now + a.Expires, letGo: r.now + a.Expires/2, worth: class.Worth / r.topWorth}
 	switch {
 	case class.Read == FreshRead:
 		q.need = r.now
@@ -533,6 +534,9 @@
 	t := &q.tries[o.Attempt]
 	n := t.n
 	t.pending, t.ended = false, r.now
+	if o.Status != NoConnect && o.Status != NotSent {
+		q.letGo = q.deadline
+	}
 	q.out--
 	if !t.lost {
 		r.book(n, -1)
@@ -654,7 +658,7 @@
 	if q.done || q.out > 0 {
 		return
 	}
-	if q.group == nil || len(q.tries) >= r.set.MaxAttempts || r.now >= q.deadline-2*tickEvery {
+	if q.group == nil || len(q.tries) >= r.set.MaxAttempts || r.now >= q.letGo-2*tickEvery {
 		r.giveUp(q)
 		return
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -548,3 +548,24 @@
 	h.probed(1, Primary, h.now)
 	h.want("write three seconds after the news", h.arrive(7, classWrite))
 }
+
+// What has reached no node is let go by half its time, when its client can still act; what one has turned away is
+// held to its deadline.
+func TestLetGoByHalfItsTime(t *testing.T) {
+	h := newHarness(t, settings())
+	h.probed(1, Replica, h.now+1)
+	h.want("write without primary", h.arrive(7, classWrite))
+	h.want("until half its time", h.wait(time.Second), Refuse)
+
+	h = newHarness(t, settings())
+	h.want("write", h.arrive(8, classWrite), Send)
+	h.want("no connection", h.done(8, 0, 1, NoConnect, Evidence{}))
+	h.want("no primary", h.probed(1, Replica, h.now+1))
+	h.want("until half its time", h.wait(time.Second), Refuse)
+
+	h = newHarness(t, settings())
+	h.want("write", h.arrive(9, classWrite), Send)
+	h.want("turned away", h.done(9, 0, 1, TurnedAway, Evidence{Replica, h.now + 1}))
+	h.want("half its time", h.wait(time.Second))
+	h.want("its deadline", h.wait(time.Second), Refuse)
+}
