--- a/choice/choice.go
+++ b/choice/choice.go
@@ -30,13 +30,13 @@
 	lagWait       = 4         // a replica is not asked again before this part of its lag has passed
 	asksMost      = 4         // probes for one read
 	probeShare    = 0.2       // probes that each request pays for
-	silence       = 300 * ms  // attempts out this long with nothing heard: the node is suspect
+	silence       = 300 * ms  // attempts out this long, and beyond their aim, with nothing heard: suspect
 	silenceBy     = 4         // ... or this multiple of its usual latency, if longer
 	restarted     = 1000 * ms // a node unreachable this long is taken to have restarted cold
 	pauseFirst    = 500 * ms  // first pause of a mute node, or after a failed list call; doubles
 	pauseMost     = 4 * time.Second
 	again         = 50 * ms          // before a request goes to a node, or asks for its report, once more
-	lostAfter     = 8                // times the usual latency: an attempt that later ones overtook is lost
+	lostAfter     = 8                // times the usual latency, and the aim: what later ones overtook is lost
 	extraShare    = 0.1              // second copies and retries allowed for each first try
 	extraMost     = 20.0             // saved up
 	coldSafety    = 0.5              // share of the cold budget that is used
@@ -850,14 +850,14 @@
 
 func (r *Router) overdue(q *request) {
 	t := &q.tries[len(q.tries)-1]
-	n, waited := t.n, r.now-t.at
-	quiet := max(silence, time.Duration(silenceBy*n.latency))
+	n, waited, aim, usual := t.n, r.now-t.at, r.aim(q), time.Duration(t.n.latency)
+	quiet := max(silence, silenceBy*usual, aim)
 	if waited > quiet && r.now-n.answered > quiet && !n.down {
 		r.suspect(n, true)
 	}
 	// An attempt out for many times the usual while ones sent well after it are answered was lost on the way.
 	// It leaves the count, so that lost writes do not stop others. A rare very costly read gets a copy too.
-	if usual := time.Duration(n.latency); !t.lost && waited > lostAfter*usual && n.overtook > t.at+usual {
+	if !t.lost && waited > max(lostAfter*usual, aim) && n.overtook > t.at+usual {
 		t.lost = true
 		r.book(n, -1)
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -569,3 +569,17 @@
 	h.want("half its time", h.wait(time.Second))
 	h.want("its deadline", h.wait(time.Second), Refuse)
 }
+
+// A report that may take seconds does not make its node look hung: with nothing else out there, it is still the
+// primary that a write goes to.
+func TestLongReportIsNoSilence(t *testing.T) {
+	s := settings()
+	s.Classes[classAny].Aim, s.Classes[classAny].Deadline = 5*time.Second, 10*time.Second
+	h := newHarness(t, s)
+	h.list(Node{ID: 1, State: Ready})
+	h.probed(1, Replica, h.now)
+	h.want("report", h.arrive(7, classAny), Send)
+	h.wait(2 * time.Second)
+	h.probed(1, Primary, h.now)
+	h.want("write while it runs", h.arrive(8, classWrite), Send)
+}
