Test a database that is cut off: silent, with its connections open

Checked: the write that was out fails at its deadline, later ones get their answers in time, and the database is used again once it speaks.

--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -212,3 +212,18 @@
 	}
 	require.True(t, b.Client().Ask(b.Statement("write", "b", second)).Complete)
 }
+
+// A database that is cut off gives no sign: time-outs find it, every client gets its answer in time, and it is used
+// again once it is back.
+func TestCutOff(t *testing.T) {
+	b := testbed.Start(t)
+	c := b.Client()
+	require.True(t, c.Ask(b.Statement("write", "a", second)).Complete)
+	b.Databases[0].Freeze(true)
+	require.Equal(t, pg.CodeQueryCanceled, c.Ask(b.Statement("write", "b", second)).Code, "it may have run")
+	for range 4 {
+		require.NotEmpty(t, c.Ask(b.Statement("write", "c", second/2)).Code)
+	}
+	b.Databases[0].Freeze(false)
+	b.Eventually(func() bool { return c.Ask(b.Statement("write", "d", second)).Complete }, "it is back")
+}
--- a/internal/testbed/database.go
+++ b/internal/testbed/database.go
@@ -38,6 +38,7 @@
 	got     []string
 	started int
 	ended   int // hangs and endless streams that the pooler ended
+	frozen  bool
 	conns   map[net.Conn]bool
 	grpc    *grpc.Server
 }
@@ -97,6 +98,20 @@
 	}
 }
 
+// Freeze makes the database silent on the PostgreSQL wire, as one that is cut off: its connections stay open, new
+// ones come up, and nothing is answered or done.
+func (d *Database) Freeze(on bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.frozen = on
+}
+
+func (d *Database) isFrozen() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.frozen
+}
+
 func (d *Database) note(sql string) string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -157,6 +172,9 @@
 			}
 			return
 		}
+		if d.isFrozen() {
+			continue
+		}
 		session.Feed(buf[:n])
 		for {
 			command, ok := session.Next()
