SIGHUP reloads the configuration and moves to the discovery that it names

Checked: the exit status is SIGHUP's default action; main.go's signals() did not ask for it. discovery.Watch had a fixed address and went on at the old one, which closes after 1.5 s. Ruled out: that settings or limits change there; the log names no key that differs. Change: SIGHUP is caught from the first line on, config.Reload reads the file (whose discovery goes before GW_DISCOVERY, which still holds the old address), and Watch.Move cancels the call and asks the new address for the whole list, then for changes from its version on. A bad file is logged; requests and connections are not touched. The watch now reads a stream of objects, bounded each, since the whole list may stand on several lines. TestReload fails without it: the program ends.

--- a/cmd/capercove/main.go
+++ b/cmd/capercove/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"syscall"
@@ -34,7 +35,9 @@
 // program is the wired parts.
 type program struct {
 	log    zerolog.Logger
+	config config.Config
 	limits limits.Limits
+	watch  *discovery.Watch
 	driver *net.Driver
 	core   *core.Core
 	pool   *net.Pool
@@ -46,6 +49,8 @@
 }
 
 func run(log zerolog.Logger) error {
+	signals := make(chan os.Signal, 4) // From here on: SIGHUP would end the program otherwise.
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 	cfg, err := config.Load()
 	if err != nil {
 		return err
@@ -67,7 +72,7 @@
 	runtime.GOMAXPROCS(2) // One core, but the loop must not wait for a goroutine that sits in a system call.
 	log = log.With().Str("pooler", cfg.Name).Logger()
 
-	p := &program{log: log, limits: l, stops: make(chan struct{})}
+	p := &program{log: log, config: cfg, limits: l, stops: make(chan struct{})}
 	p.driver = net.New(cfg.Listen, l, log, func() {
 		p.core.List(cfg.Known.Entries(cfg.Facts.Zones), true)
 		p.core.Start()
@@ -86,7 +91,7 @@
 	p.driver.Core, p.driver.Front, p.driver.Pool = p.core, p.front, p.pool
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	watch := discovery.New(ctx, cfg.Discovery, cfg.Known.Revision, l, log,
+	p.watch = discovery.New(ctx, cfg.Discovery, cfg.Known.Revision, l, log,
 		func(list discovery.List) {
 			p.driver.Do(func() { p.core.List(list.Entries(cfg.Facts.Zones), list.Complete) })
 		},
@@ -104,7 +109,7 @@
 			}
 		}()
 	}
-	p.core.Attach(watch, p.pool, watchers...)
+	p.core.Attach(p.watch, p.pool, watchers...)
 	if storeConfig.Enabled {
 		if p.store, err = store.Open(storeConfig, cfg.Name, l, log); err != nil {
 			return err
@@ -117,7 +122,7 @@
 			Do: p.driver.Do, Stop: p.stops}
 		go replay.Run()
 	}
-	go p.signals()
+	go p.signals(signals)
 	log.Info().Str("listen", cfg.Listen).Int("members", len(cfg.Known.Members)).Msg("starting")
 	if err := p.driver.Run(); err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -146,14 +151,14 @@
 	return func() time.Duration { return epoch + time.Since(start) }
 }
 
-func (p *program) signals() {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+func (p *program) signals(signals <-chan os.Signal) {
 	stopping := false
 	for s := range signals {
 		switch {
 		case s == syscall.SIGUSR1:
 			p.driver.Do(func() { p.counters("counters") })
+		case s == syscall.SIGHUP:
+			p.reload()
 		case !stopping:
 			stopping = true
 			p.driver.Do(p.stop)
@@ -161,6 +166,25 @@
 	}
 }
 
+// reload takes in the configuration as it is now, without touching a request or a connection. A bad one changes
+// nothing. Discovery's address is followed; what else has changed counts from the next start on.
+func (p *program) reload() {
+	c, err := config.Reload()
+	if err != nil {
+		p.log.Error().Err(err).Msg("reload: the configuration is kept")
+		return
+	}
+	for key, changed := range map[string]bool{"name": c.Name != p.config.Name, "listen": c.Listen != p.config.Listen,
+		"limits": c.Machine != p.config.Machine, "settings": !reflect.DeepEqual(c.Settings, p.config.Settings) ||
+			!reflect.DeepEqual(c.Facts, p.config.Facts)} {
+		if changed {
+			p.log.Warn().Str("key", key).Msg("reload: changed, but counts only from the next start on")
+		}
+	}
+	p.log.Info().Str("discovery", c.Discovery).Msg("reloaded")
+	p.watch.Move(c.Discovery)
+}
+
 // stop finishes what was taken, then ends the program. New connections are served for a while, since a front
 // takes a moment to look elsewhere.
 func (p *program) stop() {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -32,8 +32,13 @@
 		"classes": c.Facts.Classes, "settings": c.Settings}
 }
 
-// Load reads the configuration. GW_NAME, GW_LISTEN and GW_DISCOVERY go before the file's values.
-func Load() (Config, error) {
+// Load reads the configuration at the start. GW_NAME, GW_LISTEN and GW_DISCOVERY go before the file's values.
+func Load() (Config, error) { return load(false) }
+
+// Reload reads it again while the program runs. Only the file can have changed since, so its values go first.
+func Reload() (Config, error) { return load(true) }
+
+func load(again bool) (Config, error) {
 	var file struct {
 		Name      string `json:"name"`
 		Listen    string `json:"listen"`
@@ -69,7 +74,7 @@
 		{&c.Discovery, "GW_DISCOVERY", file.Discovery, "discovery", true},
 	} {
 		key := v.env
-		if *v.to = os.Getenv(v.env); *v.to == "" {
+		if *v.to = os.Getenv(v.env); *v.to == "" || again && v.file != "" {
 			*v.to, key = v.file, v.key
 		}
 		if *v.to == "" {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -3,16 +3,17 @@
 package discovery
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"io"
 	"net"
 	"net/http"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -84,23 +85,28 @@
 
 // Watch asks discovery. It implements core.Lister.
 type Watch struct {
-	url      string
-	limits   limits.Limits
-	log      zerolog.Logger
-	changed  func(List)
-	failed   func()
-	client   *http.Client
-	ctx      context.Context
-	calls    chan struct{}
+	limits  limits.Limits
+	log     zerolog.Logger
+	changed func(List)
+	failed  func()
+	client  *http.Client
+	ctx     context.Context
+	calls   chan struct{}
+
+	mu       sync.Mutex // guards all below, which Move changes
+	addr     string
+	moved    bool // since the last call
+	listed   bool // some list is known, at revision; if not, the whole is asked for first
 	revision uint64
+	cancel   context.CancelFunc
 }
 
 // New returns a watch on a discovery service. It calls changed and failed from a goroutine of its own. From
 // revision on it knows the list already.
 func New(ctx context.Context, addr string, known uint64, l limits.Limits, log zerolog.Logger, changed func(List),
 	failed func()) *Watch {
-	w := &Watch{url: "http://" + addr + "/catalog/members", limits: l, log: log, changed: changed,
-		failed: failed, ctx: ctx, calls: make(chan struct{}, 1), revision: known,
+	w := &Watch{addr: addr, limits: l, log: log, changed: changed, failed: failed, ctx: ctx,
+		calls: make(chan struct{}, 1), listed: known > 0, revision: known, cancel: func() {},
 		client: &http.Client{Transport: &http.Transport{
 			DialContext:       (&net.Dialer{Timeout: l.WatchAnswer}).DialContext,
 			DisableKeepAlives: true, // Against silent retries on a stale connection: each is a call.
@@ -117,6 +123,17 @@
 	}
 }
 
+// Move asks another address from now on, beginning with the whole list: its versions may be numbered otherwise.
+func (w *Watch) Move(addr string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if addr != w.addr {
+		w.addr, w.moved, w.listed = addr, true, false
+		w.cancel()
+		w.Subscribe()
+	}
+}
+
 func (w *Watch) run() {
 	for {
 		select {
@@ -124,23 +141,57 @@
 			return
 		case <-w.calls:
 		}
-		err := w.watch()
+		err := w.call()
+		for w.hasMoved() {
+			err = w.call()
+		}
 		if w.ctx.Err() != nil {
 			return
 		}
 		w.log.Warn().Err(err).Msg("discovery: watch ended")
+		select { // Against two calls for one failure: what was asked for meanwhile is answered by this one.
+		case <-w.calls:
+		default:
+		}
 		w.failed()
 	}
 }
 
-// watch makes one call and reads changes until it breaks.
-func (w *Watch) watch() error {
+func (w *Watch) hasMoved() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.moved
+}
+
+// call asks for what there is to know and reads changes until the watch breaks.
+func (w *Watch) call() error {
 	ctx, cancel := context.WithCancel(w.ctx)
 	defer cancel()
+	w.mu.Lock()
+	url, listed := "http://"+w.addr+"/catalog/members", w.listed
+	w.moved, w.cancel = false, cancel
+	w.mu.Unlock()
+	if !listed {
+		if err := w.get(ctx, url); !errors.Is(err, io.EOF) {
+			return err
+		}
+	}
+	return w.get(ctx, url+"?watch=1&from="+strconv.FormatUint(w.version(), 10))
+}
+
+func (w *Watch) version() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.revision
+}
+
+// get makes one call and reads the objects of its answer, up to io.EOF if all is well.
+func (w *Watch) get(ctx context.Context, url string) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	// Against a discovery that is cut off and never closes: no word in time ends the call.
 	silence := time.AfterFunc(w.limits.WatchAnswer, cancel)
 	defer silence.Stop()
-	url := w.url + "?watch=1&from=" + strconv.FormatUint(w.revision, 10)
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
@@ -154,25 +205,52 @@
 	if answer.StatusCode != http.StatusOK {
 		return errors.New(answer.Status)
 	}
-	lines := bufio.NewScanner(answer.Body)
-	lines.Buffer(nil, w.limits.ListBytes)
-	for lines.Scan() {
-		silence.Reset(w.limits.WatchSilence)
-		if len(lines.Bytes()) == 0 {
-			continue
+	body := &reader{from: answer.Body, heard: func() { silence.Reset(w.limits.WatchSilence) }}
+	objects := json.NewDecoder(body)
+	for {
+		var text json.RawMessage
+		body.left = w.limits.ListBytes
+		if err := objects.Decode(&text); err != nil {
+			return err
 		}
-		l, err := Parse(lines.Bytes())
+		l, err := Parse(text)
 		if err == nil && len(l.Members) > w.limits.Members {
 			err = fmt.Errorf("%d members", len(l.Members))
 		}
 		if err != nil {
 			return err
 		}
-		w.revision = l.Revision
-		w.changed(l)
+		if !w.accept(ctx, l) {
+			return context.Canceled
+		}
 	}
-	if err := lines.Err(); err != nil {
-		return err
+}
+
+// reader tells of what it reads, also of the empty lines between objects, and bounds what one object may take.
+type reader struct {
+	from  io.Reader
+	left  int
+	heard func()
+}
+
+func (r *reader) Read(p []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, errors.New("an object of the list is too long")
+	}
+	n, err := r.from.Read(p)
+	r.left -= n
+	r.heard()
+	return n, err
+}
+
+// accept passes on what a call brought, unless discovery has moved since: its revision would mean nothing there.
+func (w *Watch) accept(ctx context.Context, l List) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if ctx.Err() != nil {
+		return false
 	}
-	return errors.New("discovery ended the watch")
+	w.listed, w.revision = true, l.Revision
+	w.changed(l)
+	return true
 }
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -227,3 +227,31 @@
 	b.Databases[0].Freeze(false)
 	b.Eventually(func() bool { return c.Ask(b.Statement("write", "d", second)).Complete }, "it is back")
 }
+
+// SIGHUP moves to the discovery that the file names, whose versions begin anew; a bad file changes nothing.
+func TestReload(t *testing.T) {
+	b := testbed.Start(t)
+	c := b.Client()
+	c.Send(pg.AppendQuery(nil, b.Statement("write", "hang", second)))
+	b.Eventually(func() bool { return len(b.Databases[0].Got()) == 1 }, "the write is out")
+	b.Known = b.Known[:1]
+	b.MoveDiscovery(0)
+	b.Configure("{")
+	b.Signal(syscall.SIGHUP)
+	b.Eventually(func() bool { return b.Line("the configuration is kept") != "" }, "a bad file is logged")
+	b.Configure("")
+	b.Signal(syscall.SIGHUP)
+	require.Equal(t, pg.CodeQueryCanceled, c.Next().Code, "the write was not touched")
+	b.Eventually(func() bool {
+		for key := range 8 {
+			if string(c.Ask(b.Statement("report", fmt.Sprint(key), second)).Value) != "from db-0" {
+				return false
+			}
+		}
+		return true
+	}, "the new discovery's list counts")
+	b.List(b.Entry(1, "SERVING"))
+	b.Eventually(func() bool {
+		return string(c.Ask(b.Statement("report", fmt.Sprint(len(b.Databases[0].Got())), second)).Value) == "from db-1"
+	}, "and so do its changes")
+}
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -48,7 +48,10 @@
 	Databases []*Database
 	Known     []discovery.Entry
 
+	Sockets int // descriptors that the program may hold
+
 	name      string
+	config    string            // path of the program's configuration
 	files     map[string]string // text of the project's own files by variable
 	env       []string
 	process   *exec.Cmd
@@ -82,10 +85,13 @@
 
 // Start runs the program with a primary, db-0, and one replica, db-1, of group 3.
 func Start(t *testing.T, options ...Option) *Bed {
-	b := &Bed{T: t, Addr: Free(t), changes: make(chan discovery.List, 16), revision: 1,
+	b := &Bed{T: t, Addr: Free(t), changes: make(chan discovery.List, 16), revision: 1, Sockets: 1024,
 		name: "n0", files: map[string]string{}}
 	b.discovery = httptest.NewServer(http.HandlerFunc(b.serveList))
-	t.Cleanup(b.discovery.Close)
+	t.Cleanup(func() {
+		b.discovery.Listener.Close()
+		b.discovery.CloseClientConnections()
+	})
 	for i := range 2 {
 		d := newDatabase(t, fmt.Sprintf("db-%d", i), i == 0)
 		b.Databases = append(b.Databases, d)
@@ -100,18 +106,14 @@
 		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
 		return path
 	}
-	config, err := json.Marshal(map[string]any{"name": b.name, "listen": b.Addr, "seed": "8c1f30d27a5be964",
-		"discovery": b.discovery.Listener.Addr().String(),
-		"limits":    map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
-		"known":     discovery.List{Revision: b.revision, Complete: true, Members: b.Known},
-		"settings":  json.RawMessage(Settings)})
-	require.NoError(t, err)
 	flight := fmt.Sprintf("listen = %q\nserver_port = 1\n[servers]\n", b.Flight)
 	for _, d := range b.Databases {
 		flight += fmt.Sprintf("%s = %q\n", d.ID, d.Flight)
 	}
 	b.files["CAPERCOVE_FLIGHT"] = flight
-	b.env = append(os.Environ(), "GW_CONFIG="+write("config.json", string(config)))
+	b.config = write("config.json", "")
+	b.Configure("")
+	b.env = append(os.Environ(), "GW_CONFIG="+b.config, "GW_DISCOVERY="+b.discovery.Listener.Addr().String())
 	for variable, text := range b.files {
 		b.env = append(b.env, variable+"="+write(variable, text))
 	}
@@ -126,6 +128,29 @@
 	return b
 }
 
+// Configure writes the program's configuration as things are now, or a bad one.
+func (b *Bed) Configure(bad string) {
+	if bad != "" {
+		require.NoError(b.T, os.WriteFile(b.config, []byte(bad), 0o600))
+		return
+	}
+	config, err := json.Marshal(map[string]any{"name": b.name, "listen": b.Addr, "seed": "8c1f30d27a5be964",
+		"discovery": b.discovery.Listener.Addr().String(),
+		"limits":    map[string]any{"cores": 1, "memory_mb": 192, "sockets": b.Sockets},
+		"known":     discovery.List{Revision: b.revision, Complete: true, Members: b.Known},
+		"settings":  json.RawMessage(Settings)})
+	require.NoError(b.T, err)
+	require.NoError(b.T, os.WriteFile(b.config, config, 0o600))
+}
+
+// MoveDiscovery ends discovery and starts it at a new address, where it is at this revision.
+func (b *Bed) MoveDiscovery(revision uint64) {
+	b.discovery.Listener.Close()
+	b.discovery.CloseClientConnections()
+	b.revision = revision
+	b.discovery = httptest.NewServer(http.HandlerFunc(b.serveList))
+}
+
 // Run starts the program, again if it has ended, and waits until it is ready.
 func (b *Bed) Run() {
 	b.process = exec.Command(Binary(b.T))
@@ -220,6 +245,10 @@
 
 func (b *Bed) serveList(w http.ResponseWriter, r *http.Request) {
 	w.WriteHeader(http.StatusOK)
+	if r.FormValue("watch") == "" {
+		json.NewEncoder(w).Encode(discovery.List{Revision: b.revision, Complete: true, Members: b.Known})
+		return
+	}
 	for {
 		w.(http.Flusher).Flush()
 		select {
