Close the client connection idle longest when the table is full

Checked: counters every 5 s (a probe, not kept): the table of 115 clients fills with connections that asked once and stayed (1262 of them), and Front.accept turns every further client away with a close that destroys the refusal. Ruled out: the limit on databases' connections (Capped 0, at most 112 at once), memory, unread or sent-ahead bytes. Change: a full table makes room for a new client by closing the one that has been without a request for the longest, 2 s at least; one that has said nothing may go after 250 ms and goes after 2 s anyway (was 10 s). TestClientsThatStay fails without it (tried).

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -36,6 +36,8 @@
 	ProbeTimeout   time.Duration
 	ServerIdle     time.Duration // connections to databases idle this long are closed
 	Startup        time.Duration // a client's connection has started by then
+	ClientIdle     time.Duration // a client's connection may be closed for others after this long without a request
+	ClientMute     time.Duration // ... or this long before it has started
 	WatchAnswer    time.Duration // discovery's answer begins by then
 	WatchSilence   time.Duration // a watch that is silent this long is broken
 	Linger         time.Duration // after SIGTERM new connections are served for this long
@@ -87,7 +89,9 @@
 		ConnectTimeout: connect,
 		ProbeTimeout:   connect,
 		ServerIdle:     keepalive * 3 / 4,
-		Startup:        10 * time.Second,
+		Startup:        2 * time.Second,
+		ClientIdle:     2 * time.Second,
+		ClientMute:     250 * time.Millisecond,
 		WatchAnswer:    2500 * time.Millisecond,
 		WatchSilence:   3200 * time.Millisecond, // a line comes every 2 s
 		Linger:         750 * time.Millisecond,
--- a/internal/net/front.go
+++ b/internal/net/front.go
@@ -30,7 +30,7 @@
 
 // FrontCounters count the clients' connections and what came in on them.
 type FrontCounters struct {
-	Accepted, TurnedAway, Closed, Commands, Bad int64
+	Accepted, TurnedAway, Evicted, Closed, Commands, Bad int64
 }
 
 // Tap sees what clients send. It is called on the loop and must not wait; the bytes are its own only until it
@@ -53,6 +53,7 @@
 	conn    gnet.Conn
 	session *pg.Session
 	slots   []*slot
+	since   time.Duration // it was opened, or has had its last answer
 	startup *wheel.Timer
 	timer   *wheel.Timer  // of later
 	closing bool          // it ends when all has gone out,
@@ -74,8 +75,9 @@
 
 func (f *Front) accept(c gnet.Conn) *client {
 	k := &client{front: f, conn: c, session: pg.NewSession(f.limits.MessageBytes)}
-	if len(f.clients) >= f.limits.Clients { // Against running out of descriptors.
+	if len(f.clients) >= f.limits.Clients && !f.evict() { // Against running out of descriptors.
 		f.Count.TurnedAway++
+		f.bad("too many connections")
 		k.ending, k.gone = true, true
 		c.Write(pg.AppendError(nil, "FATAL", pg.CodeFull, "too many connections", ""))
 		c.Close()
@@ -84,6 +86,7 @@
 	f.Count.Accepted++
 	f.opened++
 	k.number = f.opened
+	k.since = f.core.Now()
 	k.used = !f.draining
 	f.clients[k] = struct{}{}
 	// Against connections that are opened and never used.
@@ -95,6 +98,28 @@
 	return k
 }
 
+// evict closes the connection that has been of no use for the longest. Against clients that ask once and stay, and
+// ones that connect and say nothing: they would keep all others out.
+func (f *Front) evict() bool {
+	now := f.core.Now()
+	var oldest *client
+	for k := range f.clients {
+		least := f.limits.ClientIdle
+		if !k.session.Started() {
+			least = f.limits.ClientMute
+		}
+		if now-k.since >= least && (oldest == nil || k.since < oldest.since) && k.free() {
+			oldest = k
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	f.Count.Evicted++
+	closeNow(oldest.conn)
+	return true
+}
+
 func (k *client) traffic(data []byte) {
 	if k.ending {
 		return
@@ -193,6 +218,7 @@
 		return
 	}
 	if len(out) > 0 {
+		k.since = k.front.core.Now()
 		k.conn.Write(out)
 	}
 	if k.gone { // the write found it closed
@@ -228,9 +254,12 @@
 	k.held = bytes
 }
 
-// idle tells whether the connection is between requests: nothing owed, nothing unread.
-func (k *client) idle() bool {
-	return len(k.slots) == 0 && k.session.Started() && k.session.Held() == 0 && silent(k.conn)
+// idle tells whether the connection is between requests.
+func (k *client) idle() bool { return k.session.Started() && k.free() }
+
+// free tells whether nothing is owed and nothing unread.
+func (k *client) free() bool {
+	return len(k.slots) == 0 && k.session.Held() == 0 && k.conn.OutboundBuffered() == 0 && silent(k.conn)
 }
 
 // end closes the connection once all that was written has gone out: gnet would drop what the socket does not
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -1,6 +1,7 @@
 package net_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"strings"
@@ -255,3 +256,28 @@
 		return string(c.Ask(b.Statement("report", fmt.Sprint(len(b.Databases[0].Got())), second)).Value) == "from db-1"
 	}, "and so do its changes")
 }
+
+// Clients that ask once and stay, or connect and say nothing, do not keep others out; one that waits for its answer
+// keeps its connection.
+func TestClientsThatStay(t *testing.T) {
+	b := testbed.Start(t, func(b *testbed.Bed) { b.Sockets = 128 })
+	busy := b.Client()
+	busy.Send(pg.AppendQuery(nil, b.Statement("write", "hang", 3*second)))
+	for range 50 {
+		b.Dial()
+	}
+	for range 60 {
+		b.Eventually(func() bool {
+			c := b.Dial()
+			c.Write(pg.AppendQuery(pg.AppendStartup(nil, "client", "core"), b.Statement("report", "a", second)))
+			c.SetReadDeadline(time.Now().Add(second))
+			answer := bufio.NewReader(c)
+			for {
+				if value, err := answer.ReadString('-'); err != nil || strings.HasSuffix(value, "from db-") {
+					return err == nil
+				}
+			}
+		}, "a new client is served")
+	}
+	require.Equal(t, pg.CodeQueryCanceled, busy.Next().Code)
+}
