Check the form of every answer; a spoilt one is an error; one open request an id

Checked: a log line for each error of a database (probe, not kept): all were 42601 for statements with the id of an open request, sent again up to ten times, and counted against the database. pg.Link took rows in any order and of any length; net.Pool reported what could not be read as a broken connection, and Router.sample takes a node out on one. What came behind a reply in one read was taken as the next answer's beginning, under the next request. Ruled out: statements changed by us (none had 08P01). Change: Link wants one row description, one row of one fitting column, one completion, in order, and ends a connection with anything behind the reply; such answers are NodeError. Core knows the names of open requests; a second of a name is bad input on both fronts. A database's error about the statement itself ends the request at once and tells nothing against the database, on both wires. TestSpoiltAnswers, TestBadInput (both fronts) and TestBothWiresCountAlike fail without these.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -18,9 +18,18 @@
 type Client interface {
 	Served(answer any)           // what the backend reported with the attempt
 	Refused(after time.Duration) // trying again is harmless, after so long
-	Failed(timedOut bool)
+	Failed(why Failure)
 }
 
+// Failure tells why a request failed.
+type Failure uint8
+
+const (
+	Broke    Failure = iota // it may have run
+	Late                    // no answer in time; it may have run
+	Unusable                // the databases cannot use it
+)
+
 // Backend carries attempts to databases over one wire.
 type Backend interface {
 	Send(*Attempt)   // ends with Core.Done, unless cancelled
@@ -45,6 +54,7 @@
 // Request is what a client asks. The front fills in the exported fields.
 type Request struct {
 	Front        string // its name, for the counters
+	Name         string // the client's name for it; only one of a name may be open
 	Class, Group int
 	Session      uint64
 	Expires      time.Duration // from now until the client quits
@@ -118,6 +128,7 @@
 	classes  []choice.Class
 	members  map[choice.NodeID]*Member
 	requests map[choice.RequestID]*Request
+	names    map[string]struct{} // of the open requests
 	last     choice.RequestID
 	events   []choice.Event
 	actions  []choice.Action
@@ -128,7 +139,7 @@
 	wake func()) *Core {
 	return &Core{Wheel: wheel.New(l.Tick, l.Slots, clock()), limits: l, log: log, clock: clock, wake: wake,
 		router: choice.New(s, seed), classes: s.Classes, members: map[choice.NodeID]*Member{},
-		requests: map[choice.RequestID]*Request{}, Count: Counters{Fronts: map[string]*Answers{}}}
+		requests: map[choice.RequestID]*Request{}, names: map[string]struct{}{}, Count: Counters{Fronts: map[string]*Answers{}}}
 }
 
 // Attach names who lists, who probes and who is told of members. It comes before the first event.
@@ -172,6 +183,12 @@
 	return len(c.members) == 0 // before the first list none is known to be wrong
 }
 
+// IsOpen tells whether a request of this name is open.
+func (c *Core) IsOpen(name string) bool {
+	_, open := c.names[name]
+	return open
+}
+
 func (c *Core) push(e choice.Event) {
 	c.events = append(c.events, e)
 	if !c.awake {
@@ -200,6 +217,7 @@
 	expires := max(q.Expires-c.limits.Margin, 0)
 	q.deadline = c.clock() + expires
 	c.requests[q.id] = q
+	c.names[q.Name] = struct{}{}
 	// Against a request without an answer, whatever the router or a backend forgets.
 	q.guard = c.Wheel.At(q.deadline+c.limits.Overdue, func() {
 		if !q.done {
@@ -207,7 +225,7 @@
 			c.log.Error().Uint64("request", uint64(q.id)).Msg("no answer by the deadline")
 			c.finish(q)
 			q.count.Failed++
-			q.Client.Failed(true)
+			q.Client.Failed(Late)
 			c.push(choice.Event{Kind: choice.ClientGone, Request: q.id})
 		}
 	})
@@ -228,6 +246,7 @@
 func (c *Core) finish(q *Request) {
 	q.done = true
 	q.guard.Stop()
+	delete(c.names, q.Name)
 	c.forget(q)
 }
 
@@ -269,7 +288,7 @@
 		case q.began != nil: // Against an answer cut halfway being sent again, or shown as whole.
 			c.finish(q)
 			q.count.Failed++
-			q.Client.Failed(status == choice.TimedOut)
+			q.Client.Failed(failure(status == choice.TimedOut))
 		}
 	}
 	c.push(choice.Event{Kind: choice.AttemptDone, Request: q.id, Outcome: choice.Outcome{Node: a.Member.ID,
@@ -277,6 +296,24 @@
 	c.forget(q)
 }
 
+func failure(late bool) Failure {
+	if late {
+		return Late
+	}
+	return Broke
+}
+
+// Unusable ends an attempt whose statement the database cannot use, and the request with it. Against a bad client's
+// request being sent again and again, each time at the cost of another database's good name.
+func (c *Core) Unusable(a *Attempt, note choice.Evidence) {
+	if q := a.Request; !a.done && !q.done {
+		c.finish(q)
+		q.count.Failed++
+		q.Client.Failed(Unusable)
+	}
+	c.Done(a, choice.TurnedAway, note, nil)
+}
+
 // Probed ends a probe.
 func (c *Core) Probed(m *Member, status choice.Status, took time.Duration, report choice.Evidence) {
 	if status != choice.OK {
@@ -388,7 +425,7 @@
 			q.Client.Refused(a.After)
 		} else {
 			q.count.Failed++
-			q.Client.Failed(c.clock() >= q.deadline)
+			q.Client.Failed(failure(c.clock() >= q.deadline))
 		}
 	}
 }
--- a/internal/flight/backend.go
+++ b/internal/flight/backend.go
@@ -101,7 +101,11 @@
 			if c.uses--; c.retired && c.uses == 0 {
 				c.grpc.Close()
 			}
-			b.core.Done(a, result, t.note, answer)
+			if t.unusable {
+				b.core.Unusable(a, t.note)
+			} else {
+				b.core.Done(a, result, t.note, answer)
+			}
 		})
 	}()
 }
@@ -138,6 +142,8 @@
 	s      *statement
 	heard  bool // the database has answered
 	note   choice.Evidence
+
+	unusable bool // it cannot use the statement
 }
 
 func (t *try) carry(cc *grpc.ClientConn) (choice.Status, any) {
@@ -161,6 +167,7 @@
 	} else {
 		err = t.get(ctx, client, d)
 	}
+	t.unusable = status.Code(err) == codes.InvalidArgument
 	return outcome(err), answer
 }
 
--- a/internal/flight/flight_test.go
+++ b/internal/flight/flight_test.go
@@ -85,7 +85,7 @@
 		for _, r := range []struct{ class, key, answer string }{
 			{"read", "a", "served"}, {"report", "b", "served"}, {"write", "c", "served"},
 			{"report", "full", "refused"}, {"write", "full", "refused"}, {"write", "fail", "failed"},
-			{"write", "d", "served"}, {"write", "hang", "deadline"}, {"write", "e", "served"},
+			{"report", "unusable", "unusable"}, {"write", "d", "served"}, {"write", "hang", "deadline"}, {"write", "e", "served"},
 		} {
 			wait := 3 * time.Second
 			if r.answer == "refused" || r.answer == "deadline" { // held until then
@@ -99,13 +99,14 @@
 				_, err = arrow.query(ctx, r.key)
 			}
 			require.Equal(t, r.answer, map[string]string{"": "served", pg.CodeFull: "refused",
-				pg.CodeSystemError: "failed", pg.CodeQueryCanceled: "deadline"}[reply.Code], "%d: %v", round, r)
+				pg.CodeSystemError: "failed", pg.CodeSyntax: "unusable", pg.CodeQueryCanceled: "deadline"}[reply.Code], "%d: %v", round, r)
 			require.Equal(t, r.answer, map[codes.Code]string{codes.OK: "served", codes.ResourceExhausted: "refused",
-				codes.Internal: "failed", codes.DeadlineExceeded: "deadline"}[status.Code(err)], "%d: %v", round, r)
+				codes.Internal: "failed", codes.InvalidArgument: "unusable", codes.DeadlineExceeded: "deadline"}[status.Code(err)], "%d: %v", round, r)
 		}
 	}
-	want := testbed.Answers{Taken: 27, Served: 15, Refused: 6, Failed: 6}
-	counters := b.Counters(func(c testbed.Counters) bool { return c.Core.Fronts["flight"].Taken == 27 })
+	require.Equal(t, 6, sent(b, "unusable"), "each is sent once")
+	want := testbed.Answers{Taken: 30, Served: 15, Refused: 6, Failed: 9}
+	counters := b.Counters(func(c testbed.Counters) bool { return c.Core.Fronts["flight"].Taken == 30 })
 	require.Equal(t, map[string]testbed.Answers{"postgres": want, "flight": want}, counters.Core.Fronts)
 }
 
@@ -184,13 +185,20 @@
 		_, err := c.query(metadata.NewOutgoingContext(context.Background(), md), "a")
 		require.Equal(t, codes.InvalidArgument, status.Code(err), "%v: %v", bad, err)
 	}
+	ctx, cancel := context.WithCancel(headers("write", "3000"))
+	defer cancel()
+	go c.update(ctx, "hang")
+	b.Eventually(func() bool { return sent(b, "hang") == 1 }, "the write is out")
+	require.Equal(t, codes.InvalidArgument, status.Code(c.update(headers("write", "500"), "a")), "its id is open")
+	cancel()
 	_, err := c.DoGet(context.Background(), &flight.Ticket{Ticket: []byte("foreign")})
 	require.Equal(t, codes.InvalidArgument, status.Code(err))
 	_, err = c.GetTables(context.Background(), &flightsql.GetTablesOpts{})
 	require.Equal(t, codes.Unimplemented, status.Code(err))
-	batches, err := c.query(headers("read", "500"), "a")
-	require.NoError(t, err)
-	require.Equal(t, testbed.Batches, batches)
+	b.Eventually(func() bool {
+		batches, err := c.query(headers("read", "500"), "a")
+		return err == nil && batches == testbed.Batches
+	}, "the id is free again")
 }
 
 // SIGTERM finishes a stream that has begun.
--- a/internal/flight/front.go
+++ b/internal/flight/front.go
@@ -157,12 +157,9 @@
 
 func (c *call) Refused(after time.Duration) { c.final <- final{err: Refusal(after)} }
 
-func (c *call) Failed(timedOut bool) {
-	err := errFailed
-	if timedOut {
-		err = errDeadline
-	}
-	c.final <- final{err: err}
+func (c *call) Failed(why core.Failure) {
+	c.final <- final{err: map[core.Failure]error{core.Broke: errFailed, core.Late: errDeadline,
+		core.Unusable: errUnusable}[why]}
 }
 
 // run takes a request through the core and returns its one final answer.
@@ -184,19 +181,22 @@
 	}
 	c := &call{data: make(chan *flight.FlightData), final: make(chan final, 1)}
 	s.call, q.Client = c, c
-	unknown := make(chan bool, 1)
+	bad := make(chan string, 1)
 	f.do(func() {
-		if known := f.core.HasGroup(q.Group); !known {
-			unknown <- true
-		} else {
+		switch {
+		case !f.core.HasGroup(q.Group):
+			bad <- KeyGroup + ": unknown group"
+		case f.core.IsOpen(q.Name):
+			bad <- KeyID + ": a request of this id is open"
+		default:
 			f.core.Submit(q)
 		}
 	})
 	for {
 		select {
-		case <-unknown:
+		case why := <-bad:
 			f.Count.Bad.Add(1)
-			return nil, status.Error(codes.InvalidArgument, KeyGroup+": unknown group")
+			return nil, status.Error(codes.InvalidArgument, why)
 		case m := <-c.data:
 			f.Count.Messages.Add(1)
 			if err := send(m); err != nil {
@@ -217,7 +217,7 @@
 	bad := func(key, why string) (*core.Request, error) {
 		return nil, status.Error(codes.InvalidArgument, key+": "+why)
 	}
-	q := &core.Request{Front: "flight", Class: slices.Index(f.classes, s.Class), Payload: s, Backend: f.backend}
+	q := &core.Request{Front: "flight", Name: s.ID, Class: slices.Index(f.classes, s.Class), Payload: s, Backend: f.backend}
 	if q.Class < 0 {
 		return bad(KeyClass, "unknown class")
 	}
--- a/internal/flight/protocol.go
+++ b/internal/flight/protocol.go
@@ -140,6 +140,7 @@
 // Final answers as gRPC statuses. A refusal alone carries RetryInfo.
 var (
 	errFailed   = status.Error(codes.Internal, "failed; it may have run")
+	errUnusable = status.Error(codes.InvalidArgument, "the databases cannot use the statement")
 	errDeadline = status.Error(codes.DeadlineExceeded, "no answer in time; it may have run")
 )
 
--- a/internal/net/front.go
+++ b/internal/net/front.go
@@ -190,10 +190,13 @@
 
 func (s *slot) Refused(after time.Duration) { s.set(pg.AppendRefusal(nil, after)) }
 
-func (s *slot) Failed(timedOut bool) {
-	if timedOut {
+func (s *slot) Failed(why core.Failure) {
+	switch why {
+	case core.Late:
 		s.set(pg.AppendFailure(nil, pg.CodeQueryCanceled, "no answer in time; it may have run"))
-	} else {
+	case core.Unusable:
+		s.set(pg.AppendFailure(nil, pg.CodeSyntax, "the databases cannot use the statement"))
+	default:
 		s.set(pg.AppendFailure(nil, pg.CodeSystemError, "failed; it may have run"))
 	}
 }
--- a/internal/net/intake.go
+++ b/internal/net/intake.go
@@ -35,8 +35,10 @@
 		return nil, pg.CodeBadValue, "no cluster is named"
 	case !in.core.HasGroup(query.Group):
 		return nil, pg.CodeBadValue, "unknown cluster"
+	case in.core.IsOpen(query.ID):
+		return nil, pg.CodeBadValue, "a request of this id is open"
 	}
-	q = &core.Request{Front: front, Class: class, Group: query.Group, Expires: query.Wait,
+	q = &core.Request{Front: front, Name: query.ID, Class: class, Group: query.Group, Expires: query.Wait,
 		LastWrite: query.After, Payload: &query, Backend: in.backend}
 	if kind := in.core.Class(class).Read; kind == choice.Write || kind == choice.SessionRead {
 		q.Session = query.Key
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -118,6 +118,10 @@
 		require.Equal(t, code, c.Ask(sql).Code, sql)
 	}
 	require.True(t, c.Ask("SET x = 1").Complete)
+	out := b.Statement("write", "hang", second)
+	c.Send(append(pg.AppendQuery(nil, out), pg.AppendQuery(nil, out)...))
+	require.Equal(t, pg.CodeQueryCanceled, c.Next().Code)
+	require.Equal(t, pg.CodeBadValue, c.Next().Code, "its id was open")
 	c.Send([]byte("P\x00\x00\x00\x08\x00\x00\x00\x00B\x00\x00\x00\x04S\x00\x00\x00\x04")) // Parse, Bind, Sync
 	require.Equal(t, pg.CodeUnsupported, c.Next().Code)
 	require.True(t, c.Ask(b.Statement("write", strings.Repeat("x", 128<<10), second)).Complete, "64 KiB as hex")
@@ -281,3 +285,24 @@
 	}
 	require.Equal(t, pg.CodeQueryCanceled, busy.Next().Code)
 }
+
+// A spoilt answer is a failed attempt that may have run, and takes no database out; what comes behind a good one is
+// nobody's answer. Its connection is not used again.
+func TestSpoiltAnswers(t *testing.T) {
+	b := testbed.Start(t)
+	c := b.Client()
+	for _, key := range []string{"noise", "oversize", "misfit", "headless", "rowless"} {
+		before := len(b.Databases[0].Got())
+		require.Equal(t, pg.CodeSystemError, c.Ask(b.Statement("write", key, second)).Code, key)
+		require.Len(t, b.Databases[0].Got(), before+1, key)
+		require.Equal(t, "from db-0", string(c.Ask(b.Statement("write", "a", 5*time.Second)).Value), key)
+	}
+	for _, key := range []string{"twice", "trailing"} {
+		for range 20 {
+			c.Send(append(pg.AppendQuery(nil, b.Statement("write", key, second)),
+				pg.AppendQuery(nil, b.Statement("write", "a", second))...))
+			require.Equal(t, "from db-0", string(c.Next().Value), key)
+			require.Equal(t, "from db-0", string(c.Next().Value), key)
+		}
+	}
+}
--- a/internal/net/pool.go
+++ b/internal/net/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"syscall"
 	"time"
 
@@ -27,7 +28,8 @@
 	log     zerolog.Logger
 	core    *core.Core
 	servers map[choice.NodeID]*server
-	links   int // open and dialled, over all servers
+	links   int           // open and dialled, over all servers
+	logged  time.Duration // when a bad reply was last logged
 }
 
 // PoolCounters count connections to databases.
@@ -186,6 +188,10 @@
 			note.Role = choice.Replica
 		}
 	}
+	if r != nil && unusable(r.Code) {
+		p.core.Unusable(j.attempt, note)
+		return
+	}
 	p.core.Done(j.attempt, status, note, rows)
 }
 
@@ -207,7 +213,7 @@
 func status(r *pg.Reply) choice.Status {
 	switch r.Code {
 	case "":
-		if r.Complete {
+		if r.Value != nil {
 			return choice.OK
 		}
 		return choice.NodeError
@@ -219,6 +225,12 @@
 	return choice.NodeError
 }
 
+// unusable tells whether an error is about the statement itself: by its class a syntax error, bad data, a feature
+// that is not there or a limit of the database's.
+func unusable(code string) bool {
+	return len(code) == 5 && slices.Contains([]string{"08", "0A", "22", "42", "54"}, code[:2])
+}
+
 // ---- Connections
 
 // dial opens a connection for the jobs that wait.
@@ -360,6 +372,9 @@
 	case l.dead:
 	case s.member.State == choice.Gone || l.addr != s.addr:
 		l.close()
+	case !silent(l.conn): // Against more than belongs to the answer: it must not pass for the next one.
+		l.pool.Count.Unasked++
+		l.close()
 	case len(s.waiting) > 0:
 		j := s.waiting[0]
 		s.unqueue(j)
@@ -380,33 +395,46 @@
 		l.close()
 		return
 	}
-	replies, err := l.pg.Feed(data)
-	for i := range replies {
-		l.reply(&replies[i])
-		if l.dead {
-			return
-		}
+	reply, done, err := l.pg.Feed(data)
+	switch {
+	case err != nil:
+		l.spoilt(err)
+	case done:
+		l.reply(&reply)
+	}
+}
+
+// spoilt ends a connection whose answer cannot be read. The request may have run. The database is up and answers:
+// this is an error of its, not a break.
+func (l *link) spoilt(err error) {
+	p := l.pool
+	p.Count.BadReplies++
+	if now := p.core.Now(); now-p.logged >= p.limits.LogEvery {
+		p.logged = now
+		p.log.Warn().Err(err).Str("database", l.server.member.Name).Int64("so_far", p.Count.BadReplies).Msg("bad reply")
 	}
-	if err != nil {
-		l.pool.Count.BadReplies++
-		l.pool.log.Warn().Err(err).Str("database", l.server.member.Name).Msg("bad reply")
-		l.broken()
+	if !l.ready {
+		p.refused(l)
+		return
+	}
+	j := l.job
+	l.job = nil
+	l.close()
+	if j != nil {
+		p.finish(j, choice.NodeError, nil)
 	}
 }
 
 func (l *link) reply(r *pg.Reply) {
 	p := l.pool
 	switch {
-	case !l.ready && r.Code != "":
+	case !l.ready && (r.Code != "" || r.Fatal):
 		p.refused(l)
 	case !l.ready:
 		l.timer.Stop()
 		l.ready = true
 		l.server.dialing--
 		l.free()
-	case l.job == nil: // a second answer to one statement
-		l.pool.Count.Unasked++
-		l.close()
 	default:
 		j := l.job
 		l.job = nil
@@ -435,7 +463,7 @@
 	if j == nil {
 		return
 	}
-	if r := l.pg.Partial(); r.Complete { // The whole answer had come.
+	if r := l.pg.Partial(); r.Complete && r.Value != nil { // The whole answer had come.
 		l.pool.finish(j, choice.OK, &r)
 		return
 	}
--- a/internal/pcap/replay.go
+++ b/internal/pcap/replay.go
@@ -71,4 +71,4 @@
 
 func (r *Replay) Served(any)            { r.end() }
 func (r *Replay) Refused(time.Duration) { r.end() }
-func (r *Replay) Failed(bool)           { r.end() }
+func (r *Replay) Failed(core.Failure)   { r.end() }
--- a/internal/pg/link.go
+++ b/internal/pg/link.go
@@ -10,7 +10,6 @@
 
 // Reply is what a database sent up to ReadyForQuery, or up to a fatal error.
 type Reply struct {
-	Startup  bool          // it ends the startup, not a query
 	Rows     []byte        // RowDescription, DataRow and CommandComplete as they came
 	Complete bool          // CommandComplete has come and there was no error
 	Value    []byte        // first column of the first row
@@ -22,66 +21,99 @@
 	Fatal    bool          // the connection cannot be used again
 }
 
-var errUnexpected = errors.New("message of an unexpected type")
+var (
+	errUnexpected = errors.New("message of an unexpected type")
+	errMalformed  = errors.New("malformed message")
+)
 
 // Link is our side of one connection to a database. One query is out at a time.
 type Link struct {
 	in      framer
 	started bool
+	last    byte // of T, D, C and I in this reply
 	reply   Reply
 }
 
 func NewLink(maxMessage int) *Link {
-	return &Link{in: framer{limit: maxMessage}, reply: Reply{Startup: true}}
+	return &Link{in: framer{limit: maxMessage}}
 }
 
+// Resume takes a connection that has started already.
+func (l *Link) Resume() { l.started = true }
+
 // Partial returns the reply as far as it has come, for a connection that ends.
 func (l *Link) Partial() Reply { return l.reply }
 
-// Feed takes in bytes and returns the replies that they end. After an error the connection is of no more use.
-func (l *Link) Feed(data []byte) (replies []Reply, err error) {
+// Feed takes in bytes and returns the reply that they end. After an error the connection is of no more use, and
+// after bytes behind a reply neither: nothing that comes unasked may pass for the next one's answer.
+func (l *Link) Feed(data []byte) (reply Reply, done bool, err error) {
 	l.in.buf = append(l.in.buf, data...)
-	for {
+	for !done {
 		kind, body, ok, err := l.in.next(true)
 		if err != nil || !ok {
-			return replies, err
-		}
-		done, err := l.message(kind, body)
-		if err != nil {
-			return replies, err
+			return Reply{}, false, err
 		}
-		if done {
-			replies = append(replies, l.reply)
-			l.started = l.started || !l.reply.Fatal
-			l.reply = Reply{}
+		if done, err = l.message(kind, body); err != nil {
+			return Reply{}, false, err
 		}
 	}
+	reply, l.reply, l.last = l.reply, Reply{}, 0
+	reply.Fatal = reply.Fatal || len(l.in.buf) > 0
+	l.started = l.started || !reply.Fatal
+	return reply, true, nil
 }
 
+// message takes in one message. Each has its place and its form: a spoilt answer must not pass for a whole one.
 func (l *Link) message(kind byte, body []byte) (done bool, err error) {
 	r := &l.reply
 	switch kind {
 	case 'Z':
+		if len(body) != 1 || body[0] != 'I' || l.started && r.Code == "" && !r.Complete {
+			return false, errMalformed
+		}
 		return true, nil
 	case 'T', 'D', 'C':
-		if !l.started || r.Code != "" {
+		before := map[byte]byte{'T': 0, 'D': 'T', 'C': 'D'}[kind]
+		if !l.started || r.Code != "" || l.last != before && (kind != 'C' || l.last != 0) {
 			return false, errUnexpected
 		}
+		l.last = kind
 		if len(r.Rows)+len(body) > l.in.limit { // Against an answer without end: it holds one value.
 			return false, errTooLong
 		}
 		r.Rows = message(r.Rows, kind, func(b []byte) []byte { return append(b, body...) })
-		if kind == 'D' && r.Value == nil {
-			r.Value = firstColumn(body)
+		switch kind {
+		case 'T':
+			_, rest, ok := cString(body[min(2, len(body)):])
+			if !ok || body[0] != 0 || body[1] != 1 || len(rest) != 18 {
+				return false, errMalformed
+			}
+		case 'D':
+			if r.Value = onlyColumn(body); r.Value == nil {
+				return false, errMalformed
+			}
+		case 'C':
+			if _, rest, ok := cString(body); !ok || len(rest) > 0 {
+				return false, errMalformed
+			}
+			r.Complete = true
 		}
-		r.Complete = kind == 'C'
 	case 'I':
-		r.Complete = true
+		if !l.started || r.Code != "" || l.last != 0 || len(body) > 0 {
+			return false, errUnexpected
+		}
+		l.last, r.Complete = kind, true
 	case 'E':
+		if r.Code != "" || r.Complete {
+			return false, errUnexpected
+		}
 		return l.failure(body)
 	case 'S':
-		name, rest, _ := cString(body)
-		value, _, _ := cString(rest)
+		name, rest, named := cString(body)
+		value, rest, ok := cString(rest)
+		if !named || !ok || len(rest) > 0 {
+			return false, errMalformed
+		}
 		switch name {
 		case "mode":
 			r.Mode = value
@@ -104,12 +136,15 @@
 func (l *Link) failure(body []byte) (done bool, err error) {
 	r := &l.reply
 	r.Complete, r.Rows, r.Value = false, nil, nil
-	for len(body) > 0 && body[0] != 0 {
+	if len(body) == 0 || body[len(body)-1] != 0 {
+		return false, errMalformed
+	}
+	for body[0] != 0 {
 		field := body[0]
 		var value string
 		var ok bool
-		if value, body, ok = cString(body[1:]); !ok {
-			return false, errors.New("malformed error")
+		if value, body, ok = cString(body[1:]); !ok || len(body) == 0 {
+			return false, errMalformed
 		}
 		switch field {
 		case 'C':
@@ -122,22 +157,19 @@
 			r.Fatal = r.Fatal || value == "FATAL" || value == "PANIC"
 		}
 	}
-	if r.Code == "" {
-		r.Code = CodeSystemError
+	if r.Code == "" || len(body) > 1 {
+		return false, errMalformed
 	}
 	r.Fatal = r.Fatal || !l.started
 	return r.Fatal, nil // a fatal error is not followed by ReadyForQuery
 }
 
-func firstColumn(row []byte) []byte {
-	if len(row) < 6 || binary.BigEndian.Uint16(row) == 0 {
-		return nil
-	}
-	size := int64(int32(binary.BigEndian.Uint32(row[2:])))
-	if size < 0 || size > int64(len(row)-6) {
+// onlyColumn returns the value of a row of one column, nil if it is anything else.
+func onlyColumn(row []byte) []byte {
+	if len(row) < 6 || binary.BigEndian.Uint16(row) != 1 || int64(binary.BigEndian.Uint32(row[2:])) != int64(len(row)-6) {
 		return nil
 	}
-	return append([]byte{}, row[6:6+size]...)
+	return append([]byte{}, row[6:]...)
 }
 
 // ParseReport reads a load report such as "x0=1767225600.123,x1=1,util=0.61".
--- a/internal/pg/query.go
+++ b/internal/pg/query.go
@@ -10,6 +10,7 @@
 
 // Query is a statement with what its comment tells.
 type Query struct {
+	ID       string
 	Class    string
 	Group    int
 	Wait     time.Duration // d
@@ -32,7 +33,7 @@
 	if size < 0 || strings.Trim(sql[open+size+2:], " \t\r\n;") != "" {
 		return q, errNoComment
 	}
-	hasID, hasWait := false, false
+	hasWait := false
 	for at, end := open+2, open+size; at < end; {
 		stop := end
 		if comma := strings.IndexByte(sql[at:end], ','); comma >= 0 {
@@ -43,7 +44,7 @@
 		value = strings.TrimRight(value, " ")
 		switch strings.TrimSpace(name) {
 		case "id":
-			hasID = value != ""
+			q.ID = value
 		case "c":
 			q.Class = value
 		case "cluster":
@@ -67,7 +68,7 @@
 		}
 		at = stop + 1
 	}
-	if !hasID || !hasWait || q.Class == "" {
+	if q.ID == "" || !hasWait || q.Class == "" {
 		return q, errNoComment
 	}
 	q.Key = keyOf(sql[:open])
--- a/internal/testbed/database.go
+++ b/internal/testbed/database.go
@@ -1,9 +1,12 @@
 package testbed
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -27,8 +30,8 @@
 
 // Database is a stand-in for one database on both wires. What it does with a statement is told by the first of
 // these words in it: full (turned away), fail (an error), miss (not the primary), cut (the connection breaks),
-// half (a Flight stream stops after a batch), hang (no answer), endless (a Flight stream without end). All
-// other statements are served.
+// half (a Flight stream stops after a batch), hang (no answer), endless (a Flight stream without end), one of
+// spoilt (see there), unusable (as that of a bad client). All other statements are served.
 type Database struct {
 	ID, Addr, Flight string
 
@@ -43,6 +46,21 @@
 	grpc    *grpc.Server
 }
 
+var words = append(slices.Collect(maps.Keys(spoilt)), "full", "fail", "miss", "cut", "half", "hang", "endless", "unusable")
+
+// spoilt are ways to spoil a good answer.
+var spoilt = map[string]func(good []byte) []byte{
+	"noise":    func([]byte) []byte { return []byte("\x93\x01\x00\x00\x00\x07noise") },
+	"oversize": func([]byte) []byte { return []byte("D\xb0\x00\x00\x00\x00\x01\xaf\xff\xff\xf0claimed") },
+	"misfit": func(good []byte) []byte {
+		return bytes.Replace(good, []byte("\x00\x09from"), []byte("\x00\x08from"), 1)
+	},
+	"headless": func(good []byte) []byte { return good[bytes.IndexByte(good, 'D'):] },
+	"rowless":  func(good []byte) []byte { return good[bytes.LastIndexByte(good, 'C'):] },
+	"twice":    func(good []byte) []byte { return append(good, row(nil, "of another")...) },
+	"trailing": func(good []byte) []byte { return append(good, "\x93noise"...) },
+}
+
 func newDatabase(t *testing.T, id string, primary bool) *Database {
 	d := &Database{ID: id, t: t, primary: primary, conns: map[net.Conn]bool{}}
 	l := d.listen()
@@ -116,7 +134,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.got = append(d.got, sql)
-	for _, word := range []string{"full", "fail", "miss", "cut", "half", "hang", "endless"} {
+	for _, word := range words {
 		if strings.Contains(sql, word) {
 			return word
 		}
@@ -213,10 +231,16 @@
 		return d.failure("XX000"), word
 	case "miss":
 		return d.failure(pg.CodeReadOnly), word
+	case "unusable":
+		return d.failure(pg.CodeSyntax), word
 	case "hang", "cut":
 		return nil, word
 	}
-	return row(d.parameters(nil), "from "+d.ID), word
+	reply = row(d.parameters(nil), "from "+d.ID)
+	if spoil := spoilt[word]; spoil != nil {
+		reply = spoil(reply)
+	}
+	return reply, word
 }
 
 func (d *Database) parameters(b []byte) []byte {
@@ -269,6 +293,8 @@
 		return word, status.Error(codes.Internal, "told to")
 	case "miss":
 		return word, status.Error(codes.FailedPrecondition, "told to")
+	case "unusable":
+		return word, status.Error(codes.InvalidArgument, "told to")
 	case "cut":
 		s.d.Cut()
 		return word, status.Error(codes.Unavailable, "told to")
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -266,8 +266,8 @@
 type Client struct {
 	net.Conn
 	t       *testing.T
-	link    *pg.Link
-	replies []pg.Reply
+	started bool
+	ahead   []byte // read, but behind the last answer
 }
 
 // Dial connects and sends nothing.
@@ -280,7 +280,7 @@
 
 // Client connects and starts.
 func (b *Bed) Client() *Client {
-	c := &Client{Conn: b.Dial(), t: b.T, link: pg.NewLink(1 << 20)}
+	c := &Client{Conn: b.Dial(), t: b.T}
 	c.Send(pg.AppendStartup(nil, "client", "core"))
 	require.Empty(b.T, c.Next().Code)
 	return c
@@ -295,18 +295,25 @@
 // Next reads the next answer.
 func (c *Client) Next() pg.Reply {
 	c.t.Helper()
+	link := pg.NewLink(1 << 20)
+	if c.started { // as the link sees it: the answer to the startup ends with the first ReadyForQuery
+		link.Resume()
+	}
 	buf := make([]byte, 64<<10)
-	for len(c.replies) == 0 {
+	for {
+		for i := range c.ahead { // byte by byte, since a link takes what follows a reply for unasked
+			r, done, err := link.Feed(c.ahead[i : i+1])
+			require.NoError(c.t, err)
+			if done {
+				c.ahead, c.started = c.ahead[i+1:], true
+				return r
+			}
+		}
 		c.SetReadDeadline(time.Now().Add(Patience))
 		n, err := c.Read(buf)
 		require.NoError(c.t, err)
-		replies, err := c.link.Feed(buf[:n])
-		require.NoError(c.t, err)
-		c.replies = append(c.replies, replies...)
+		c.ahead = buf[:n]
 	}
-	r := c.replies[0]
-	c.replies = c.replies[1:]
-	return r
 }
 
 // Ask sends a statement and reads its answer.
