Bound silent clients, time half messages out, and turn clients away readably

Checked: counters every 5 s (a probe, not kept): hundreds of silent connections fill the table at once and are all younger than the 250 ms that eviction wanted; Front.accept wrote the refusal and closed at once, which resets the connection when the client's request is already there. Half a message held a connection for ever. Ruled out: the bound on bytes held (no such line in the log), databases' connections (Capped 0). Change: silent connections have half the table at most, first in first out, and go first together with clients that sent bad input; a refused connection is shut towards the client and closed 250 ms later, 8 at once; a message must be whole 2.5 s after its first byte. TestTooManyClients, TestClientsThatStay and TestBadInput fail without these (the first tried).

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -8,6 +8,8 @@
 type Limits struct {
 	MemoryBytes   int64 // the collector is told to stay under this
 	Clients       int   // client connections; a further one is turned away
+	Mute          int   // ... of them that have yet to start; a further one closes the first of them
+	Leaving       int   // connections beyond them that are being turned away
 	Servers       int   // connections to databases, dials included
 	IdleEach      int   // idle connections kept to one database
 	Requests      int   // requests open at once; a further one is refused
@@ -38,6 +40,8 @@
 	Startup        time.Duration // a client's connection has started by then
 	ClientIdle     time.Duration // a client's connection may be closed for others after this long without a request
 	ClientMute     time.Duration // ... or this long before it has started
+	ClientMessage  time.Duration // a client's message is whole this long after its first byte
+	ClientLeaving  time.Duration // one that is turned away has this long to read why
 	WatchAnswer    time.Duration // discovery's answer begins by then
 	WatchSilence   time.Duration // a watch that is silent this long is broken
 	Linger         time.Duration // after SIGTERM new connections are served for this long
@@ -56,12 +60,16 @@
 // For returns the limits on a machine, for databases that take this long to connect and close connections that
 // are idle for keepalive. A dial holds two descriptors for a moment, hence the reserve.
 func For(m Machine, connect, keepalive time.Duration) Limits {
-	sockets := max(64, m.Sockets-64)
+	const leaving = 8
+	sockets := max(64, m.Sockets-48-leaving)
+	clients := sockets * 7 / 10
 	const flightMessage = 4 << 20
 	memory := int64(m.MemoryMB) << 20 * 6 / 10
 	return Limits{
 		MemoryBytes:   memory,
-		Clients:       sockets * 6 / 10,
+		Clients:       clients,
+		Mute:          clients / 2,
+		Leaving:       leaving,
 		Servers:       sockets * 3 / 10,
 		IdleEach:      24,
 		Requests:      20000,
@@ -92,6 +100,8 @@
 		Startup:        2 * time.Second,
 		ClientIdle:     2 * time.Second,
 		ClientMute:     250 * time.Millisecond,
+		ClientMessage:  2500 * time.Millisecond,
+		ClientLeaving:  250 * time.Millisecond,
 		WatchAnswer:    2500 * time.Millisecond,
 		WatchSilence:   3200 * time.Millisecond, // a line comes every 2 s
 		Linger:         750 * time.Millisecond,
--- a/internal/net/front.go
+++ b/internal/net/front.go
@@ -5,6 +5,7 @@
 
 	"github.com/panjf2000/gnet/v2"
 	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
 
 	"capercove/internal/core"
 	"capercove/internal/limits"
@@ -23,6 +24,8 @@
 	tap      Tap // nil: none
 	opened   uint64
 	clients  map[*client]struct{}
+	mute     int // of them that have yet to start
+	leaving  int // beyond them, being turned away
 	draining bool
 	held     int                      // bytes that the connections hold
 	logged   map[string]time.Duration // when each kind of bad input was last logged
@@ -52,9 +55,12 @@
 	number  uint64
 	conn    gnet.Conn
 	session *pg.Session
+	mute    bool // it has yet to start
+	bad     bool // it has sent bad input
+	partial bool // its last message is incomplete
 	slots   []*slot
 	since   time.Duration // it was opened, or has had its last answer
-	startup *wheel.Timer
+	patient *wheel.Timer  // of its startup, or of an incomplete message
 	timer   *wheel.Timer  // of later
 	closing bool          // it ends when all has gone out,
 	endBy   time.Duration // or then
@@ -75,12 +81,9 @@
 
 func (f *Front) accept(c gnet.Conn) *client {
 	k := &client{front: f, conn: c, session: pg.NewSession(f.limits.MessageBytes)}
-	if len(f.clients) >= f.limits.Clients && !f.evict() { // Against running out of descriptors.
-		f.Count.TurnedAway++
-		f.bad("too many connections")
-		k.ending, k.gone = true, true
-		c.Write(pg.AppendError(nil, "FATAL", pg.CodeFull, "too many connections", ""))
-		c.Close()
+	full := len(f.clients) >= f.limits.Clients
+	if (full || f.mute >= f.limits.Mute) && !f.evict() && full { // Against running out of descriptors.
+		f.turnAway(k)
 		return k
 	}
 	f.Count.Accepted++
@@ -89,15 +92,33 @@
 	k.since = f.core.Now()
 	k.used = !f.draining
 	f.clients[k] = struct{}{}
+	k.mute = true
+	f.mute++
 	// Against connections that are opened and never used.
-	k.startup = f.core.Wheel.At(f.core.Now()+f.limits.Startup, func() {
-		if !k.session.Started() {
-			closeNow(c)
-		}
-	})
+	k.patient = f.core.Wheel.At(k.since+f.limits.Startup, func() { closeNow(c) })
 	return k
 }
 
+// turnAway refuses a connection that there is no room for. Its end comes a little later: at once, it would destroy
+// the refusal together with what the client has sent meanwhile, and a request would be lost.
+func (f *Front) turnAway(k *client) {
+	f.Count.TurnedAway++
+	f.bad("too many connections")
+	k.ending = true
+	if f.leaving >= f.limits.Leaving {
+		k.gone = true
+		k.conn.Close()
+		return
+	}
+	f.leaving++
+	k.conn.Write(pg.AppendError(nil, "FATAL", pg.CodeFull, "too many connections", ""))
+	if k.gone { // the write found it closed
+		return
+	}
+	unix.Shutdown(k.conn.Fd(), unix.SHUT_WR)
+	k.patient = f.core.Wheel.At(f.core.Now()+f.limits.ClientLeaving, func() { closeNow(k.conn) })
+}
+
 // evict closes the connection that has been of no use for the longest. Against clients that ask once and stay, and
 // ones that connect and say nothing: they would keep all others out.
 func (f *Front) evict() bool {
@@ -105,7 +126,10 @@
 	var oldest *client
 	for k := range f.clients {
 		least := f.limits.ClientIdle
-		if !k.session.Started() {
+		switch {
+		case k.bad || k.mute && f.mute > f.limits.Mute/4: // so many will not all be about to start
+			least = 0
+		case k.mute:
 			least = f.limits.ClientMute
 		}
 		if now-k.since >= least && (oldest == nil || k.since < oldest.since) && k.free() {
@@ -140,13 +164,37 @@
 	for !k.ending && len(k.slots) < k.front.limits.Pipeline {
 		command, ok := k.session.Next()
 		if !ok {
+			k.wait()
 			break
 		}
+		k.partial = false
+		if k.mute && k.session.Started() {
+			k.mute = false
+			k.front.mute--
+			k.patient.Stop()
+		}
 		k.command(command)
 	}
 	k.flush()
 }
 
+// wait notes that the next message is incomplete, or yet to come. Against connections held by half a message.
+func (k *client) wait() {
+	begun := k.session.Held() > 0
+	if !k.mute && begun && !k.partial {
+		k.patient.Stop()
+		k.patient = k.front.core.Wheel.At(k.front.core.Now()+k.front.limits.ClientMessage, k.overdue)
+	}
+	k.partial = begun
+}
+
+func (k *client) overdue() {
+	if k.partial {
+		k.command(k.session.Fatal(pg.CodeProtocol, "the message is not finished in time"))
+		k.flush() // behind the answers that are owed
+	}
+}
+
 func (k *client) command(c pg.Command) {
 	f := k.front
 	f.Count.Commands++
@@ -155,6 +203,7 @@
 	k.slots = append(k.slots, s)
 	k.ending = k.ending || c.Close
 	if c.Bad != "" {
+		k.bad = true
 		f.bad(c.Bad)
 	}
 	if c.Query == "" {
@@ -166,6 +215,7 @@
 	}
 	q, code, why := f.intake.Request("postgres", c.Query)
 	if q == nil {
+		k.bad = true
 		s.answer = pg.AppendFailure(nil, code, why)
 		f.bad(why)
 		return
@@ -300,14 +350,20 @@
 		return
 	}
 	k.gone, k.ending = true, true
-	k.startup.Stop()
+	k.patient.Stop()
 	k.timer.Stop()
 	k.weigh(0)
 	k.front.Count.Closed++
 	if k.front.tap != nil {
 		k.front.tap.Closed(k.number)
 	}
+	if _, counted := k.front.clients[k]; !counted {
+		k.front.leaving--
+	}
 	delete(k.front.clients, k)
+	if k.mute {
+		k.front.mute--
+	}
 	for _, s := range k.slots {
 		if s.request != nil && !s.ready {
 			k.front.core.Leave(s.request)
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -130,6 +130,7 @@
 	for _, bytes := range []string{
 		"\xff\xff\xff\xff", "\x00\x00\x00\x04", "\x00\x00\x00\x08\x00\x02\x00\x00",
 		start + "Q\x7f\xff\xff\xff", start + "Q\x00\x00\x00\x05x", start + "!\x00\x00\x00\x04",
+		start + "Q\x00\x00\x00\x20half",
 	} {
 		raw := b.Dial()
 		_, err := raw.Write([]byte(bytes))
@@ -284,6 +285,30 @@
 		}, "a new client is served")
 	}
 	require.Equal(t, pg.CodeQueryCanceled, busy.Next().Code)
+	mute := b.Dial()
+	mute.SetReadDeadline(time.Now().Add(testbed.Patience))
+	_, err := mute.Read(make([]byte, 1))
+	require.Equal(t, io.EOF, err, "one that says nothing is closed")
+}
+
+// With no room left a client can read that it is refused: its request does not end in a reset.
+func TestTooManyClients(t *testing.T) {
+	b := testbed.Start(t, func(b *testbed.Bed) { b.Sockets = 128 })
+	refused := 0
+	for range 56 {
+		c := b.Dial()
+		c.Write(pg.AppendQuery(pg.AppendStartup(nil, "client", "core"), b.Statement("write", "hang", 3*second)))
+		first := make([]byte, 1)
+		_, err := c.Read(first)
+		require.NoError(t, err)
+		if first[0] == 'E' {
+			rest, err := io.ReadAll(c)
+			require.NoError(t, err)
+			require.Contains(t, string(rest), pg.CodeFull)
+			refused++
+		}
+	}
+	require.Greater(t, refused, 0)
 }
 
 // A spoilt answer is a failed attempt that may have run, and takes no database out; what comes behind a good one is
--- a/internal/pg/session.go
+++ b/internal/pg/session.go
@@ -47,7 +47,7 @@
 	for !s.closed {
 		kind, body, ok, err := s.in.next(s.started)
 		if err != nil {
-			return s.fatal(CodeTooLarge, err.Error()), true
+			return s.Fatal(CodeTooLarge, err.Error()), true
 		}
 		if !ok {
 			return Command{}, false
@@ -65,7 +65,8 @@
 	return Command{}, false
 }
 
-func (s *Session) fatal(code, why string) Command {
+// Fatal ends the session with an error.
+func (s *Session) Fatal(code, why string) Command {
 	s.closed = true
 	s.in.buf = nil
 	return Command{Reply: AppendError(nil, "FATAL", code, why, ""), Close: true, Bad: why}
@@ -73,7 +74,7 @@
 
 func (s *Session) startup(body []byte) Command {
 	if len(body) < 4 {
-		return s.fatal(CodeProtocol, "startup message too short")
+		return s.Fatal(CodeProtocol, "startup message too short")
 	}
 	switch code := binary.BigEndian.Uint32(body); {
 	case code == requestSSL || code == requestGSS:
@@ -82,10 +83,10 @@
 		s.closed = true
 		return Command{Close: true}
 	case code>>16 != 3:
-		return s.fatal(CodeUnsupported, "protocol version not supported")
+		return s.Fatal(CodeUnsupported, "protocol version not supported")
 	}
 	if len(body) < 5 || body[len(body)-1] != 0 {
-		return s.fatal(CodeProtocol, "malformed startup message")
+		return s.Fatal(CodeProtocol, "malformed startup message")
 	}
 	s.started = true
 	reply := []byte{'R', 0, 0, 0, 8, 0, 0, 0, 0}
@@ -117,14 +118,14 @@
 		return Command{Reply: AppendFailure(nil, CodeUnsupported, why), Bad: why}
 	case 'Q':
 	default:
-		return s.fatal(CodeProtocol, "unknown message type")
+		return s.Fatal(CodeProtocol, "unknown message type")
 	}
 	if s.skipping {
 		return Command{}
 	}
 	sql, rest, ok := cString(body)
 	if !ok || len(rest) > 0 {
-		return s.fatal(CodeProtocol, "malformed query message")
+		return s.Fatal(CodeProtocol, "malformed query message")
 	}
 	if strings.Trim(sql, " \t\r\n;") == "" {
 		return Command{Reply: AppendReady([]byte{'I', 0, 0, 0, 4})}
