After SIGTERM serve as ever for 2 s, then drain; end before SIGKILL may come

Checked: the logs: SIGTERM to n1 at 13.06, its end at 14.13, its return at 17.38; n0 16.06, 16.91, 20.37. The return comes 4.3 s after SIGTERM whenever the program ends, so from 16.9 to 17.4 both were down, and clients sent away from n0 at 16.06 found nobody before. Ruled out: slow starts (0.0 s), lost requests (none). At fault: program.stop closed idle clients at once and ended after 0.75 s; its last bound of 12 s is beyond SIGKILL (the longest deadline, 3 s at most, plus 0.7 s). Change: 2 s of service as ever, then each client is closed between requests; all ends 3.5 s after SIGTERM, and what is open then (long reports) fails instead of being lost. Both times follow from the settings' longest deadline. TestStopServesOn fails without it (clients were closed at SIGTERM).

--- a/cmd/capercove/main.go
+++ b/cmd/capercove/main.go
@@ -67,7 +67,11 @@
 	if err != nil {
 		return err
 	}
-	l := limits.For(cfg.Machine, cfg.Facts.Connect, cfg.Facts.Keepalive)
+	var longest time.Duration
+	for _, c := range cfg.Settings.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	l := limits.For(cfg.Machine, cfg.Facts.Connect, cfg.Facts.Keepalive, longest)
 	debug.SetMemoryLimit(l.MemoryBytes)
 	runtime.GOMAXPROCS(2) // One core, but the loop must not wait for a goroutine that sits in a system call.
 	log = log.With().Str("pooler", cfg.Name).Logger()
@@ -185,21 +189,29 @@
 	p.watch.Move(c.Discovery)
 }
 
-// stop finishes what was taken, then ends the program. New connections are served for a while, since a front
-// takes a moment to look elsewhere.
+// stop ends the program. For a while it serves as ever: in a rolling restart the one before may not be back yet, and
+// clients sent away would find nobody. Then it finishes what was taken and closes each client between requests.
 func (p *program) stop() {
 	p.log.Info().Int("open", p.core.Open()).Msg("stopping")
 	close(p.stops)
-	p.front.Drain()
-	if p.flight != nil {
-		go p.flight.Stop()
-	}
 	begun := p.core.Now()
+	draining := false
 	var check func()
 	check = func() {
 		now := p.core.Now()
-		done := p.core.Open() == 0 && p.front.Idle() && (p.flight == nil || p.flight.Stopped())
-		if now >= begun+p.limits.Linger && done || now >= begun+p.limits.Stop {
+		if !draining && now >= begun+p.limits.Linger {
+			draining = true
+			p.front.Drain()
+			if p.flight != nil {
+				go p.flight.Stop()
+			}
+		}
+		if now >= begun+p.limits.Stop {
+			p.core.Abandon()
+			p.driver.Stop()
+			return
+		}
+		if draining && p.core.Open() == 0 && p.front.Idle() && (p.flight == nil || p.flight.Stopped()) {
 			p.driver.Stop()
 			return
 		}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -243,6 +243,18 @@
 	c.push(choice.Event{Kind: choice.ClientGone, Request: q.id})
 }
 
+// Abandon fails all that is open, as the program is about to end. Against requests that are lost with it.
+func (c *Core) Abandon() {
+	for _, q := range c.requests {
+		if !q.done {
+			c.finish(q)
+			q.count.Failed++
+			q.Client.Failed(Broke)
+			c.push(choice.Event{Kind: choice.ClientGone, Request: q.id})
+		}
+	}
+}
+
 func (c *Core) finish(q *Request) {
 	q.done = true
 	q.guard.Stop()
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -44,8 +44,8 @@
 	ClientLeaving  time.Duration // one that is turned away has this long to read why
 	WatchAnswer    time.Duration // discovery's answer begins by then
 	WatchSilence   time.Duration // a watch that is silent this long is broken
-	Linger         time.Duration // after SIGTERM new connections are served for this long
-	Stop           time.Duration // after SIGTERM the program ends by then at the latest
+	Linger         time.Duration // after SIGTERM all are served as ever for this long
+	Stop           time.Duration // after SIGTERM the program ends by then: SIGKILL may come after the longest deadline
 	StoreEvery     time.Duration // the state is stored this often
 	StoreWait      time.Duration // for one change of the store
 	LogEvery       time.Duration // at most one line a kind of bad input in this time
@@ -58,8 +58,10 @@
 }
 
 // For returns the limits on a machine, for databases that take this long to connect and close connections that
-// are idle for keepalive. A dial holds two descriptors for a moment, hence the reserve.
-func For(m Machine, connect, keepalive time.Duration) Limits {
+// are idle for keepalive, and for clients that wait no longer than this. A dial holds two descriptors for a moment,
+// hence the reserve.
+func For(m Machine, connect, keepalive, longest time.Duration) Limits {
+	stop := max(2*time.Second, min(longest, 3*time.Second)+500*time.Millisecond)
 	const leaving = 8
 	sockets := max(64, m.Sockets-48-leaving)
 	clients := sockets * 7 / 10
@@ -104,8 +106,8 @@
 		ClientLeaving:  250 * time.Millisecond,
 		WatchAnswer:    2500 * time.Millisecond,
 		WatchSilence:   3200 * time.Millisecond, // a line comes every 2 s
-		Linger:         750 * time.Millisecond,
-		Stop:           12 * time.Second,
+		Linger:         stop - 1500*time.Millisecond,
+		Stop:           stop,
 		StoreEvery:     2 * time.Second,
 		StoreWait:      2 * time.Second,
 		LogEvery:       time.Second,
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -190,6 +190,21 @@
 	require.Contains(t, b.Line("stopped"), `"postgres":{"Taken":2,"Served":1,"Refused":0,"Failed":1,"Gone":0}`)
 }
 
+// After SIGTERM clients are served as ever for a while; what is still open when the program ends has failed.
+func TestStopServesOn(t *testing.T) {
+	b := testbed.Start(t)
+	c, late := b.Client(), b.Client()
+	late.Send(pg.AppendQuery(nil, b.Statement("report", "hang", 10*second)))
+	b.Eventually(func() bool { return len(b.Databases[0].Got())+len(b.Databases[1].Got()) == 1 }, "the report is out")
+	b.Signal(syscall.SIGTERM)
+	b.Eventually(func() bool { return b.Line("stopping") != "" }, "it has the signal")
+	for range 20 {
+		require.True(t, c.Ask(b.Statement("write", "a", second)).Complete)
+	}
+	require.Equal(t, pg.CodeSystemError, late.Next().Code)
+	require.NoError(t, b.Wait())
+}
+
 // A client that sends on and on behind an answer that is still out is closed, and the others are served.
 func TestClientThatSendsOn(t *testing.T) {
 	b := testbed.Start(t)
