--- a/choice/api.go
+++ b/choice/api.go
@@ -94,6 +94,9 @@
 	Arrival Arrival
 	Outcome Outcome // AttemptDone and ProbeDone
 	Nodes   []Node  // ListFull, ListChange
+
+	Bans     map[NodeID]time.Duration // BansChanged: the whole set, with the clock time of each ban
+	Settings *Settings                // SettingsChanged; it must not change any more
 }
 
 type EventKind uint8
@@ -107,6 +110,8 @@
 	ListChange // only the nodes that changed
 	ListFailed // a call for the list failed or the subscription broke
 	TimerFired
+	BansChanged     // by the operators
+	SettingsChanged // requests that arrived before keep their class
 )
 
 // Arrival is a request as its client sent it.
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -113,7 +113,7 @@
 	worth, room       float64       // share of the dearest's; multiple of a bound that it may fill
 	need              time.Duration // position that a session or fresh read must see
 	tries             []attempt
-	out, asked        int           // attempts that are out; probes made for it
+	out, asked, most  int           // attempts that are out; probes made for it; attempts it may have
 	mayRun            bool          // an attempt is out or ended without proof that it never ran
 	firstRun          time.Duration // send of the first such attempt
 	dedup             *node         // where it went
@@ -141,18 +141,16 @@
 	quotaAt            time.Duration // when it was last filled up
 	topWorth           float64
 	nextTick, nextLoop time.Duration
+	bans               map[NodeID]time.Duration
 	askAt, askWait     time.Duration // when to subscribe, negative: done; wait after the next failure
 	out                []Action
 }
 
 // New returns a router that knows nothing but its settings.
 func New(s Settings, seed uint64) *Router {
-	r := &Router{set: s, seed: seed, rng: seed, byID: map[NodeID]*node{}, requests: map[RequestID]*request{},
-		sessions: map[uint64]time.Duration{}, extra: extraMost / 2, askWait: pauseFirst,
-		quota: make([]float64, len(s.Quotas))}
-	for _, c := range s.Classes {
-		r.topWorth = max(r.topWorth, c.Worth)
-	}
+	r := &Router{seed: seed, rng: seed, byID: map[NodeID]*node{}, requests: map[RequestID]*request{},
+		sessions: map[uint64]time.Duration{}, extra: extraMost / 2, askWait: pauseFirst}
+	r.retune(s)
 	return r
 }
 
@@ -170,12 +168,16 @@
 			r.probeDone(&e.Outcome)
 		case ListFull, ListChange:
 			r.list(e.Nodes, e.Kind == ListFull)
+		case BansChanged:
+			r.ban(e.Bans)
 		case ListFailed:
 			r.askAt, r.askWait = now+r.askWait/2+r.random(r.askWait), min(2*r.askWait, pauseMost)
 		}
 	}
 	for i := range events {
 		switch e := &events[i]; e.Kind {
+		case SettingsChanged: // In its place among the arrivals: those before it are of the old classes.
+			r.retune(*e.Settings)
 		case RequestArrived:
 			place = append(place, r.arrive(e.Request, &e.Arrival))
 		case ClientGone: // Even one that came in the same batch, as after a pause of this router.
@@ -334,18 +336,6 @@
 	return p
 }
 
-// mayUse keeps the drain rule. A draining primary takes what only it can take for half the grace.
-func (r *Router) mayUse(n *node, asPrimary bool) bool {
-	switch {
-	case n.toldOff == 0:
-		return true
-	case n.State == Gone:
-		return r.set.DrainOnly && !n.drained
-	default:
-		return asPrimary && r.now-n.toldOff < r.set.DrainGrace/2
-	}
-}
-
 // warmth is the share of its capacity that a node has at the least.
 func (r *Router) warmth(n *node) float64 {
 	age := r.now - n.coldAt
@@ -461,7 +451,7 @@
 }
 
 func (r *Router) probe(n *node) {
-	if !r.set.CanProbe || n.probing || (n.State == Gone && !r.set.DrainOnly) {
+	if !r.set.CanProbe || n.probing || (n.State == Gone && !r.set.DrainOnly) || r.banned(n) {
 		return
 	}
 	n.probing, n.probed = true, r.now
@@ -473,7 +463,8 @@
 func (r *Router) arrive(id RequestID, a *Arrival) *request {
 	class := &r.set.Classes[a.Class]
 	q := &request{id: id, Arrival: *a, class: class, group: r.groupOf(a.Group), arrived: r.now,
-		deadline: r.now + a.Expires, letGo: r.now + a.Expires/2, worth: class.Worth / r.topWorth, room: 1}
+		deadline: r.now + a.Expires, letGo: r.now + a.Expires/2, worth: class.Worth / r.topWorth, room: 1,
+		most: r.set.MaxAttempts}
 	switch {
 	case class.Read == AnyRead: // Long ones hold the log up. Kept together, they do so at few replicas.
 		q.Session, q.room = uint64(a.Class)+1, anyRoom
@@ -624,7 +615,7 @@
 
 // maySend keeps the rule on repeats and the attempts within their cap.
 func (r *Router) maySend(q *request, n *node) bool {
-	if q.done || len(q.tries) >= r.set.MaxAttempts || q.out > 0 && !r.set.CanHedge {
+	if q.done || len(q.tries) >= q.most || q.out > 0 && !r.set.CanHedge {
 		return false
 	}
 	if !q.mayRun || q.class.Effect == Safe {
@@ -657,7 +648,7 @@
 	if q.done || q.out > 0 {
 		return
 	}
-	if q.group == nil || len(q.tries) >= r.set.MaxAttempts || r.now >= q.letGo-2*tickEvery {
+	if q.group == nil || len(q.tries) >= q.most || r.now >= q.letGo-2*tickEvery {
 		r.giveUp(q)
 		return
 	}
@@ -808,9 +799,9 @@
 		n := r.nodes[(int(r.turn)+i)%len(r.nodes)]
 		wait, keep := probeEvery, float64(len(r.nodes)/2)
 		switch {
-		case n.group.lost || n.down:
+		case (n.group.lost || n.down) && !r.banned(n):
 			wait, keep = probeFast, 0
-		case r.now-n.heard < probeEvery:
+		case r.now-n.heard < probeEvery, r.banned(n):
 			continue
 		}
 		if !n.probing && (n.probed == 0 || r.now-n.probed >= wait) && r.probes >= 1+keep {
--- /dev/null
+++ b/choice/operators.go
@@ -0,0 +1,78 @@
+package choice
+
+import "time"
+
+// What the operators change while the router runs: its settings, and bans of nodes.
+
+// retune takes in settings. An open request keeps its class, and no more attempts than either settings allow.
+func (r *Router) retune(s Settings) {
+	r.set, r.topWorth = s, 0
+	for _, c := range s.Classes {
+		r.topWorth = max(r.topWorth, c.Worth)
+	}
+	for _, q := range r.open {
+		q.most = min(q.most, s.MaxAttempts)
+	}
+	if len(r.quota) != len(s.Quotas) {
+		r.quota = make([]float64, len(s.Quotas))
+	}
+}
+
+// ban takes in the bans, which outlast what the list says. While banned, a node is restarted: back from it, it is
+// taken for cold, as the list may be late, and is asked at once where it stands.
+func (r *Router) ban(bans map[NodeID]time.Duration) {
+	old := r.bans
+	r.bans = bans
+	for id, at := range old {
+		n := r.byID[id]
+		if _, still := bans[id]; still || n == nil {
+			continue
+		}
+		n.down, n.mute, n.fails, n.backoff, n.unproven = false, false, 0, 0, true
+		if r.now-at > restarted {
+			n.coldAt = r.now
+		}
+		r.probe(n)
+	}
+}
+
+func (r *Router) banned(n *node) bool {
+	_, banned := r.bans[n.ID]
+	return banned
+}
+
+// mayUse keeps the drain rule, which binds for banned nodes too. A primary that drains or is banned takes what only
+// it can take for half the grace.
+func (r *Router) mayUse(n *node, asPrimary bool) bool {
+	if at, banned := r.bans[n.ID]; banned && !(asPrimary && r.now-at < r.set.DrainGrace/2) {
+		return false
+	}
+	switch {
+	case n.toldOff == 0:
+		return true
+	case n.State == Gone:
+		return r.set.DrainOnly && !n.drained
+	default:
+		return asPrimary && r.now-n.toldOff < r.set.DrainGrace/2
+	}
+}
+
+// Avoided is how many nodes of the list are sent nothing now, by the operators' word, the list's or the router's own.
+func (r *Router) Avoided() (count int) {
+	for _, n := range r.nodes {
+		if n.State != Gone && (n.down || !r.mayUse(n, false)) {
+			count++
+		}
+	}
+	return count
+}
+
+// Leads tells whether every group has a primary, as far as is known.
+func (r *Router) Leads() bool {
+	for _, g := range r.groups {
+		if len(g.members) > 0 && r.primary(g) == nil {
+			return false
+		}
+	}
+	return true
+}
--- a/cmd/capercove/main.go
+++ b/cmd/capercove/main.go
@@ -4,21 +4,25 @@
 import (
 	"context"
 	"fmt"
+	gonet "net"
 	"os"
 	"os/signal"
-	"reflect"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"capercove/choice"
+	"capercove/internal/bans"
 	"capercove/internal/config"
 	"capercove/internal/core"
 	"capercove/internal/discovery"
 	"capercove/internal/flight"
 	"capercove/internal/limits"
+	"capercove/internal/management"
 	"capercove/internal/net"
 	"capercove/internal/pcap"
 	"capercove/internal/store"
@@ -35,9 +39,11 @@
 // program is the wired parts.
 type program struct {
 	log    zerolog.Logger
-	config config.Config
+	config config.Config // the signals' goroutine's, once they are listened to
+	shared bool          // the clients' listener is others' too
 	limits limits.Limits
 	watch  *discovery.Watch
+	bans   *bans.File
 	driver *net.Driver
 	core   *core.Core
 	pool   *net.Pool
@@ -67,23 +73,20 @@
 	if err != nil {
 		return err
 	}
-	var longest time.Duration
-	for _, c := range cfg.Settings.Classes {
-		longest = max(longest, c.Deadline)
-	}
-	l := limits.For(cfg.Machine, cfg.Facts.Connect, cfg.Facts.Keepalive, longest)
+	l := limitsOf(cfg)
 	debug.SetMemoryLimit(l.MemoryBytes)
 	runtime.GOMAXPROCS(2) // One core, but the loop must not wait for a goroutine that sits in a system call.
 	log = log.With().Str("pooler", cfg.Name).Logger()
 
-	p := &program{log: log, config: cfg, limits: l, stops: make(chan struct{})}
-	p.driver = net.New(cfg.Listen, l, log, func() {
-		p.core.List(cfg.Known.Entries(cfg.Facts.Zones), true)
-		p.core.Start()
-	})
-	p.core = core.New(cfg.Settings, cfg.Seed, l, log, clock(), func() { p.driver.Do(p.core.Flush) })
+	p := &program{log: log, config: cfg, shared: cfg.ListenFD > 0, limits: l, stops: make(chan struct{})}
+	listener, err := net.Listen(cfg.ListenFD, cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	p.driver = net.New(l, log, listener)
+	p.core = core.New(settings(cfg), cfg.Seed, l, log, clock(), func() { p.driver.Do(p.core.Flush) }, p.driver.Accept)
 	p.pool = net.NewPool(p.driver, l, log, p.core)
-	intake := net.NewIntake(p.core, p.pool, cfg.Facts.Classes)
+	intake := net.NewIntake(p.core, p.pool)
 	var tap net.Tap
 	if pcapConfig.Write != "" {
 		if p.tap, err = pcap.NewWriter(pcapConfig, l, log); err != nil {
@@ -104,7 +107,7 @@
 	if flightConfig.Listen != "" {
 		backend := flight.NewBackend(flightConfig, l, log, p.core, p.driver.Do)
 		watchers = append(watchers, backend)
-		if p.flight, err = flight.NewFront(l, log, p.core, p.driver.Do, backend, cfg.Facts.Classes); err != nil {
+		if p.flight, err = flight.NewFront(l, log, p.core, p.driver.Do, backend); err != nil {
 			return err
 		}
 		go func() {
@@ -114,6 +117,22 @@
 		}()
 	}
 	p.core.Attach(p.watch, p.pool, watchers...)
+	p.bans = bans.Open(os.TempDir(), cfg.Name, log, func(set bans.Set) {
+		banned := map[choice.NodeID]time.Duration{}
+		for name, at := range set {
+			banned[discovery.ID(name)] = time.Duration(at) * time.Millisecond
+		}
+		p.driver.Do(func() { p.core.Ban(banned) })
+	})
+	if cfg.Management != "" {
+		operators, err := gonet.Listen("tcp", cfg.Management)
+		if err != nil {
+			return fmt.Errorf("management: %w", err)
+		}
+		go func() {
+			log.Fatal().Err(management.New(l, log, operator{p}).Serve(operators)).Msg("management")
+		}()
+	}
 	if storeConfig.Enabled {
 		if p.store, err = store.Open(storeConfig, cfg.Name, l, log); err != nil {
 			return err
@@ -128,8 +147,13 @@
 	}
 	go p.signals(signals)
 	log.Info().Str("listen", cfg.Listen).Int("members", len(cfg.Known.Members)).Msg("starting")
-	if err := p.driver.Run(); err != nil {
-		return fmt.Errorf("listen: %w", err)
+	start := func() {
+		p.core.Known(cfg.Known.Entries(cfg.Facts.Zones))
+		p.core.Start()
+		go p.bans.Watch(ctx, l.Bans) // what it finds is on the loop behind this, and before the first client
+	}
+	if err := p.driver.Run(start); err != nil {
+		return fmt.Errorf("event loop: %w", err)
 	}
 	p.counters("stopped")
 	if p.tap != nil {
@@ -141,6 +165,40 @@
 	return nil
 }
 
+// limitsOf are the limits that a configuration asks for.
+func limitsOf(c config.Config) limits.Limits {
+	var longest time.Duration
+	for _, class := range c.Settings.Classes {
+		longest = max(longest, class.Deadline)
+	}
+	return limits.For(c.Machine, c.Facts.Connect, c.Facts.Keepalive, longest)
+}
+
+// settings are the core's part of the configuration.
+func settings(c config.Config) core.Settings {
+	return core.Settings{Settings: c.Settings, Names: c.Facts.Classes}
+}
+
+// operator lets the management server at the program.
+type operator struct{ p *program }
+
+func (o operator) Figures() core.Figures { return o.p.core.Figures() }
+
+func (o operator) Ban(name string, banned bool) (known bool, err error) {
+	found := make(chan bool)
+	o.p.driver.Do(func() { found <- o.p.core.Has(discovery.ID(name)) })
+	if !<-found && !o.p.bans.Has(name) {
+		return false, nil
+	}
+	if err := o.p.bans.Change(name, banned); err != nil {
+		return true, err
+	}
+	holds := make(chan struct{})
+	o.p.driver.Do(func() { close(holds) }) // behind the change
+	<-holds
+	return true, nil
+}
+
 // keep stores this pooler's state, again and again.
 func (p *program) keep(name string) {
 	p.store.Put("state/"+name, map[string]any{"at": time.Now().UTC(), "open": p.core.Open(),
@@ -171,21 +229,29 @@
 }
 
 // reload takes in the configuration as it is now, without touching a request or a connection. A bad one changes
-// nothing. Discovery's address is followed; what else has changed counts from the next start on.
+// nothing. Discovery's address and the settings are followed; what else has changed counts from the next start on.
 func (p *program) reload() {
-	c, err := config.Reload()
+	c, err := p.config.Reload()
 	if err != nil {
+		p.driver.Do(p.core.TurnedDown)
 		p.log.Error().Err(err).Msg("reload: the configuration is kept")
 		return
 	}
 	for key, changed := range map[string]bool{"name": c.Name != p.config.Name, "listen": c.Listen != p.config.Listen,
-		"limits": c.Machine != p.config.Machine, "settings": !reflect.DeepEqual(c.Settings, p.config.Settings) ||
-			!reflect.DeepEqual(c.Facts, p.config.Facts)} {
+		"limits": c.Machine != p.config.Machine, "management": c.Management != p.config.Management,
+		"settings.zones": !slices.Equal(c.Facts.Zones, p.config.Facts.Zones)} {
 		if changed {
 			p.log.Warn().Str("key", key).Msg("reload: changed, but counts only from the next start on")
 		}
 	}
 	p.log.Info().Str("discovery", c.Discovery).Msg("reloaded")
+	p.config = c
+	l := limitsOf(c)
+	p.driver.Do(func() {
+		p.core.Retune(settings(c))
+		p.limits.Linger, p.limits.Stop = l.Linger, l.Stop
+		p.pool.Retune(l)
+	})
 	p.watch.Move(c.Discovery)
 }
 
@@ -194,12 +260,18 @@
 func (p *program) stop() {
 	p.log.Info().Int("open", p.core.Open()).Msg("stopping")
 	close(p.stops)
+	p.core.Stopping()
 	begun := p.core.Now()
 	draining := false
+	linger := p.limits.Linger
+	if p.shared { // Others accept: whom this process has not taken in is theirs, at once.
+		linger = p.limits.Stop
+		p.driver.Refuse(func() { linger = 0 })
+	}
 	var check func()
 	check = func() {
 		now := p.core.Now()
-		if !draining && now >= begun+p.limits.Linger {
+		if !draining && now >= begun+linger {
 			draining = true
 			p.front.Drain()
 			if p.flight != nil {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -19,11 +19,15 @@
 // Config is what one pooler is started with.
 type Config struct {
 	Name, Listen, Discovery string
+	Management              string // where operators call; empty: nowhere
+	ListenFD                int    // the inherited listening socket; 0: none
 	Seed                    uint64
 	Machine                 limits.Machine
 	Known                   discovery.List
 	Settings                choice.Settings
 	Facts                   wire.Facts
+
+	shape any // of the file
 }
 
 // Public is what other poolers and operators may read of it.
@@ -35,14 +39,55 @@
 // Load reads the configuration at the start. GW_NAME, GW_LISTEN and GW_DISCOVERY go before the file's values.
 func Load() (Config, error) { return load(false) }
 
-// Reload reads it again while the program runs. Only the file can have changed since, so its values go first.
-func Reload() (Config, error) { return load(true) }
+// Reload reads it again while the program runs. Only the file can have changed since, so its values go first. It lacks
+// nothing that the running one has: a key left out would be taken for zero.
+func (c Config) Reload() (Config, error) {
+	again, err := load(true)
+	if err == nil {
+		if key := missing(c.shape, again.shape); key != "" {
+			err = fmt.Errorf("%s: missing", key)
+		}
+	}
+	return again, err
+}
+
+// missing names a key that one JSON value has, and another, which is to have all its keys, has not. In a list, each
+// object has the keys that all objects of the other list share.
+func missing(had, has any) string {
+	switch had := had.(type) {
+	case map[string]any:
+		has, _ := has.(map[string]any)
+		for key, value := range had {
+			if has[key] == nil && value != nil {
+				return key
+			}
+			if below := missing(value, has[key]); below != "" {
+				return key + "." + below
+			}
+		}
+	case []any:
+		has, _ := has.([]any)
+		for _, h := range has {
+			lacks, all := "", len(had) > 0
+			for _, other := range had {
+				key := missing(other, h)
+				all = all && key != ""
+				lacks = key
+			}
+			if all {
+				return lacks
+			}
+		}
+	}
+	return ""
+}
 
 func load(again bool) (Config, error) {
 	var file struct {
 		Name      string `json:"name"`
 		Listen    string `json:"listen"`
 		Discovery string `json:"discovery"`
+		Manage    string `json:"management"`
 		Seed      string `json:"seed"`
 		Limits    struct {
 			MemoryMB int `json:"memory_mb"`
@@ -62,21 +107,31 @@
 	if err := json.Unmarshal(text, &file); err != nil {
 		return Config{}, fmt.Errorf("GW_CONFIG: %s: %w", path, err)
 	}
-	c := Config{Machine: limits.Machine{MemoryMB: file.Limits.MemoryMB, Sockets: file.Limits.Sockets}}
+	var shape map[string]any
+	if err := json.Unmarshal(text, &shape); err != nil {
+		return Config{}, fmt.Errorf("GW_CONFIG: %s: %w", path, err)
+	}
+	delete(shape, "known") // others' entries, checked by discovery
+	c := Config{shape: shape, Machine: limits.Machine{MemoryMB: file.Limits.MemoryMB, Sockets: file.Limits.Sockets}}
 	for _, v := range []struct {
 		to        *string
 		env, file string
 		key       string
 		address   bool
+		optional  bool
 	}{
-		{&c.Name, "GW_NAME", file.Name, "name", false},
-		{&c.Listen, "GW_LISTEN", file.Listen, "listen", true},
-		{&c.Discovery, "GW_DISCOVERY", file.Discovery, "discovery", true},
+		{&c.Name, "GW_NAME", file.Name, "name", false, false},
+		{&c.Listen, "GW_LISTEN", file.Listen, "listen", true, false},
+		{&c.Discovery, "GW_DISCOVERY", file.Discovery, "discovery", true, false},
+		{&c.Management, "GW_MANAGEMENT", file.Manage, "management", true, true},
 	} {
 		key := v.env
 		if *v.to = os.Getenv(v.env); *v.to == "" || again && v.file != "" {
 			*v.to, key = v.file, v.key
 		}
+		if *v.to == "" && v.optional {
+			continue
+		}
 		if *v.to == "" {
 			return c, fmt.Errorf("%s: neither %s nor the file's %q is set", v.key, v.env, v.key)
 		}
@@ -86,6 +141,11 @@
 			}
 		}
 	}
+	if fd := os.Getenv("GW_LISTEN_FD"); fd != "" {
+		if c.ListenFD, err = strconv.Atoi(fd); err != nil || c.ListenFD < 3 {
+			return c, fmt.Errorf("GW_LISTEN_FD: %q is no inherited descriptor", fd)
+		}
+	}
 	if c.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
 		return c, fmt.Errorf("seed: %w", err)
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -5,6 +5,7 @@
 
 import (
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -49,6 +50,7 @@
 type Member struct {
 	choice.Node
 	Name, Addr string
+	Banned     bool // by the operators; its primary's writes go on for part of the grace
 }
 
 // Request is what a client asks. The front fills in the exported fields.
@@ -85,9 +87,10 @@
 	sent   time.Duration
 	timer  *wheel.Timer
 	done   bool
+	whole  bool // it has been written whole
 }
 
-// Answers count the requests of one front and how they ended.
+// Answers count the requests of one front and class and how they ended.
 type Answers struct {
 	Taken, Served, Refused, Failed int64
 	Gone                           int64 // the client left first
@@ -95,8 +98,10 @@
 
 // Counters count what the core took in, sent and answered.
 type Counters struct {
-	Fronts                              map[string]*Answers
-	Overdue                             int64 // failed by the core's own guard: a fault in this program
+	Fronts                              map[string]map[string]*Answers // by front and class
+	Written                             int64                          // attempts written whole to databases
+	Reloads, ReloadErrors               int64                          // configurations taken and turned down
+	Overdue                             int64                          // failed by the core's own guard: a fault in this program
 	Attempts, Cancelled                 int64
 	Served, Errors, Full, TimedOut      int64 // how attempts ended, as choice.Status
 	NoConnect, Broken, NotSent, Turned  int64
@@ -125,7 +130,13 @@
 	lister   Lister
 	prober   Prober
 	watchers []Watcher
-	classes  []choice.Class
+	settings *Settings
+	figures  atomic.Pointer[Figures]
+	bans     map[choice.NodeID]time.Duration
+	ready    func() // called once; nil from then on
+	readyBy  time.Duration
+	listed   bool // the list has come
+	stopping bool
 	members  map[choice.NodeID]*Member
 	requests map[choice.RequestID]*Request
 	names    map[string]struct{} // of the open requests
@@ -134,12 +145,19 @@
 	actions  []choice.Action
 }
 
-// New returns a core. The clock must be monotonic; it counts from the Unix epoch, as positions do.
-func New(s choice.Settings, seed uint64, l limits.Limits, log zerolog.Logger, clock func() time.Duration,
-	wake func()) *Core {
+// Settings are the router's, with the names of its classes. They are never changed, only replaced as a whole.
+type Settings struct {
+	choice.Settings
+	Names []string
+}
+
+// New returns a core that calls ready once it is able to serve. The clock must be monotonic; it counts from the Unix
+// epoch, as positions do.
+func New(s Settings, seed uint64, l limits.Limits, log zerolog.Logger, clock func() time.Duration, wake, ready func()) *Core {
 	return &Core{Wheel: wheel.New(l.Tick, l.Slots, clock()), limits: l, log: log, clock: clock, wake: wake,
-		router: choice.New(s, seed), classes: s.Classes, members: map[choice.NodeID]*Member{},
-		requests: map[choice.RequestID]*Request{}, names: map[string]struct{}{}, Count: Counters{Fronts: map[string]*Answers{}}}
+		router: choice.New(s.Settings, seed), settings: &s, ready: ready, members: map[choice.NodeID]*Member{},
+		requests: map[choice.RequestID]*Request{}, names: map[string]struct{}{},
+		Count: Counters{Fronts: map[string]map[string]*Answers{}}}
 }
 
 // Attach names who lists, who probes and who is told of members. It comes before the first event.
@@ -159,8 +177,13 @@
 	return n
 }
 
-// Class returns the settings of a request's class.
-func (c *Core) Class(i int) *choice.Class { return &c.classes[i] }
+// Class returns the number and the settings of a request's class. A class has its number until the next Retune.
+func (c *Core) Class(name string) (number int, class *choice.Class, known bool) {
+	if number = slices.Index(c.settings.Names, name); number < 0 {
+		return 0, nil, false
+	}
+	return number, &c.settings.Classes[number], true
+}
 
 // Members returns the names of the databases that are not gone, sorted.
 func (c *Core) Members() (names []string) {
@@ -201,10 +224,7 @@
 
 // Submit takes a request. The answer may come before Submit returns only if there are too many open.
 func (c *Core) Submit(q *Request) {
-	if q.count = c.Count.Fronts[q.Front]; q.count == nil {
-		q.count = &Answers{}
-		c.Count.Fronts[q.Front] = q.count
-	}
+	q.count = c.answers(q.Front, c.settings.Names[q.Class])
 	q.count.Taken++
 	if len(c.requests) >= c.limits.Requests { // Against tables without bound.
 		q.done = true
@@ -270,6 +290,14 @@
 
 // ---- From the backends
 
+// Written tells that the last byte of an attempt has been handed over for its database.
+func (c *Core) Written(a *Attempt) {
+	if !a.whole {
+		a.whole = true
+		c.Count.Written++
+	}
+}
+
 // Began tells that the answer of an attempt starts to reach the client: from now on no other attempt can answer
 // the request. It returns false if the request is over and nothing may be passed on.
 func (c *Core) Began(a *Attempt) bool {
@@ -337,8 +365,15 @@
 
 // ---- From discovery
 
+// Known takes in the list as it was known before the start.
+func (c *Core) Known(entries []Member) {
+	c.List(entries, true)
+	c.listed = false
+}
+
 // List takes in the whole list, or the entries that changed.
 func (c *Core) List(entries []Member, full bool) {
+	c.listed = true
 	c.Count.Lists++
 	nodes := make([]choice.Node, 0, len(entries))
 	listed := map[choice.NodeID]bool{}
@@ -370,6 +405,7 @@
 		c.members[e.ID] = m
 	}
 	*m = e
+	_, m.Banned = c.bans[m.ID]
 	for _, w := range c.watchers {
 		w.Changed(m)
 	}
@@ -387,7 +423,11 @@
 func (c *Core) Tick() { c.Wheel.Advance(c.clock()) }
 
 // Start gives the router its first turn; from then on its own timers drive it.
-func (c *Core) Start() { c.push(choice.Event{Kind: choice.TimerFired}) }
+func (c *Core) Start() {
+	c.push(choice.Event{Kind: choice.TimerFired})
+	c.readyBy = c.clock() + c.limits.ReadyWait
+	c.publish()
+}
 
 // Flush hands the router what has come in and carries out what it decides.
 func (c *Core) Flush() {
--- a/internal/flight/backend.go
+++ b/internal/flight/backend.go
@@ -120,14 +120,21 @@
 // oneTry stops a call that gRPC is about to send again on its own.
 type oneTry struct{}
 
-type cancelKey struct{}
+type tryKey struct{}
 
 func (oneTry) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context { return ctx }
 func (oneTry) HandleRPC(ctx context.Context, s stats.RPCStats) {
-	if begin, ok := s.(*stats.Begin); ok && begin.IsTransparentRetryAttempt {
-		if cancel, ok := ctx.Value(cancelKey{}).(context.CancelFunc); ok {
-			cancel()
+	t, ok := ctx.Value(tryKey{}).(*try)
+	if !ok {
+		return
+	}
+	switch s := s.(type) {
+	case *stats.Begin:
+		if s.IsTransparentRetryAttempt {
+			t.cancel()
 		}
+	case *stats.OutPayload:
+		t.b.do(func() { t.b.core.Written(t.a) })
 	}
 }
 func (oneTry) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context { return ctx }
@@ -159,7 +166,7 @@
 		return choice.NotSent, nil
 	}
 	ctx := metadata.NewOutgoingContext(t.ctx, t.s.headers(t.a.Until-now))
-	ctx = context.WithValue(ctx, cancelKey{}, t.cancel)
+	ctx = context.WithValue(ctx, tryKey{}, t)
 	client := flight.NewFlightServiceClient(cc)
 	var answer any
 	if t.s.update {
--- a/internal/flight/front.go
+++ b/internal/flight/front.go
@@ -4,7 +4,6 @@
 	"context"
 	"hash/fnv"
 	"net"
-	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -34,7 +33,6 @@
 	core    *core.Core
 	do      func(func()) // runs on the core's goroutine
 	backend core.Backend
-	classes []string
 	server  *grpc.Server
 	slots   chan struct{}
 	stopped atomic.Bool
@@ -51,9 +49,7 @@
 		"Bad": f.Count.Bad.Load(), "Messages": f.Count.Messages.Load()}
 }
 
-// NewFront returns a front for classes of these names.
-func NewFront(l limits.Limits, log zerolog.Logger, c *core.Core, do func(func()), b core.Backend,
-	classes []string) (*Front, error) {
+func NewFront(l limits.Limits, log zerolog.Logger, c *core.Core, do func(func()), b core.Backend) (*Front, error) {
 	base := &flightsql.BaseServer{}
 	for id, value := range map[flightsql.SqlInfo]any{
 		flightsql.SqlInfoFlightSqlServerName:        "capercove",
@@ -66,7 +62,7 @@
 		}
 	}
 	f := &Front{FlightServer: flightsql.NewFlightServer(base), limits: l, log: log, core: c, do: do, backend: b,
-		classes: classes, slots: make(chan struct{}, l.FlightCalls)}
+		slots: make(chan struct{}, l.FlightCalls)}
 	f.server = grpc.NewServer(grpc.MaxRecvMsgSize(l.FlightMessage), grpc.MaxConcurrentStreams(uint32(l.FlightCalls)),
 		grpc.ConnectionTimeout(l.Startup))
 	flight.RegisterFlightServiceServer(f.server, f)
@@ -167,11 +163,6 @@
 	f.Count.Calls.Add(1)
 	md, _ := metadata.FromIncomingContext(ctx)
 	s.fill(md)
-	q, err := f.request(ctx, s)
-	if err != nil {
-		f.Count.Bad.Add(1)
-		return nil, err
-	}
 	select { // Against more streams than the memory holds messages for.
 	case f.slots <- struct{}{}:
 		defer func() { <-f.slots }()
@@ -180,33 +171,40 @@
 		return nil, Refusal(0)
 	}
 	c := &call{data: make(chan *flight.FlightData), final: make(chan final, 1)}
-	s.call, q.Client = c, c
-	bad := make(chan string, 1)
-	f.do(func() {
-		switch {
-		case !f.core.HasGroup(q.Group):
-			bad <- KeyGroup + ": unknown group"
-		case f.core.IsOpen(q.Name):
-			bad <- KeyID + ": a request of this id is open"
-		default:
-			f.core.Submit(q)
+	s.call = c
+	bad := make(chan error, 1)
+	var q *core.Request // the loop's; nil until it is submitted
+	f.do(func() {       // all of it: the settings may be replaced at any time
+		asked, err := f.request(ctx, s)
+		if err != nil {
+			bad <- err
+			return
 		}
+		q, asked.Client = asked, c
+		f.core.Submit(q)
 	})
+	leave := func() {
+		f.do(func() {
+			if q != nil {
+				f.core.Leave(q)
+			}
+		})
+	}
 	for {
 		select {
-		case why := <-bad:
+		case err := <-bad:
 			f.Count.Bad.Add(1)
-			return nil, status.Error(codes.InvalidArgument, why)
+			return nil, err
 		case m := <-c.data:
 			f.Count.Messages.Add(1)
 			if err := send(m); err != nil {
-				f.do(func() { f.core.Leave(q) })
+				leave()
 				return nil, err
 			}
 		case v := <-c.final:
 			return v.answer, v.err
 		case <-ctx.Done(): // Against a database that streams on for a client that has cancelled.
-			f.do(func() { f.core.Leave(q) })
+			leave()
 			return nil, status.FromContextError(ctx.Err()).Err()
 		}
 	}
@@ -217,11 +215,11 @@
 	bad := func(key, why string) (*core.Request, error) {
 		return nil, status.Error(codes.InvalidArgument, key+": "+why)
 	}
-	q := &core.Request{Front: "flight", Name: s.ID, Class: slices.Index(f.classes, s.Class), Payload: s, Backend: f.backend}
-	if q.Class < 0 {
+	number, class, known := f.core.Class(s.Class)
+	if !known {
 		return bad(KeyClass, "unknown class")
 	}
-	class := f.core.Class(q.Class)
+	q := &core.Request{Front: "flight", Name: s.ID, Class: number, Payload: s, Backend: f.backend}
 	var err error
 	if q.Group, err = strconv.Atoi(s.Group); err != nil {
 		return bad(KeyGroup, "not a number")
@@ -229,6 +227,12 @@
 	if s.ID == "" {
 		return bad(KeyID, "missing")
 	}
+	if !f.core.HasGroup(q.Group) {
+		return bad(KeyGroup, "unknown group")
+	}
+	if f.core.IsOpen(q.Name) {
+		return bad(KeyID, "a request of this id is open")
+	}
 	if q.LastWrite, err = position([]string{s.After}); err != nil {
 		return bad(KeyAfter, err.Error())
 	}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -12,6 +12,8 @@
 	ClientsCrowd  int   // ... with more than this that have started, idle ones are closed after ClientBrief
 	Mute          int   // ... of them that have yet to start; a further one closes the first of them
 	Leaving       int   // connections beyond them that are being turned away
+	Accepting     int   // connections that are being taken in
+	Operators     int   // connections of operators
 	Servers       int   // connections to databases, dials included
 	IdleEach      int   // idle connections kept to one database
 	Requests      int   // requests open at once; a further one is refused
@@ -49,6 +51,11 @@
 	WatchSilence   time.Duration // a watch that is silent this long is broken
 	Linger         time.Duration // after SIGTERM all are served as ever for this long
 	Stop           time.Duration // after SIGTERM the program ends by then: SIGKILL may come after the longest deadline
+	ReadyWait      time.Duration // it is ready by then, also if no list has come or a primary is unknown
+	Figures        time.Duration // the operators' figures are this old at most
+	Bans           time.Duration // another process's change of the bans is seen by then
+	OperatorHead   time.Duration // an operator's call has come by then
+	OperatorCall   time.Duration // and is answered by then
 	StoreEvery     time.Duration // the state is stored this often
 	StoreWait      time.Duration // for one change of the store
 	LogEvery       time.Duration // at most one line a kind of bad input in this time
@@ -77,6 +84,8 @@
 		ClientsCrowd:  m.Sockets / 4,
 		Mute:          clients / 2,
 		Leaving:       leaving,
+		Accepting:     4,
+		Operators:     24,
 		Servers:       sockets * 3 / 10,
 		IdleEach:      24,
 		Requests:      20000,
@@ -114,6 +123,11 @@
 		WatchSilence:   3200 * time.Millisecond, // a line comes every 2 s
 		Linger:         stop - 1500*time.Millisecond,
 		Stop:           stop,
+		ReadyWait:      time.Second,
+		Figures:        100 * time.Millisecond,
+		Bans:           100 * time.Millisecond,
+		OperatorHead:   time.Second,
+		OperatorCall:   900 * time.Millisecond,
 		StoreEvery:     2 * time.Second,
 		StoreWait:      2 * time.Second,
 		LogEvery:       time.Second,
--- /dev/null
+++ b/internal/management/management.go
@@ -0,0 +1,107 @@
+// Package management is where operators call: HTTP on a listener of its own, off the event loop, so that a busy pooler
+// still answers them.
+package management
+
+import (
+	"fmt"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/net/netutil"
+
+	"capercove/internal/core"
+	"capercove/internal/limits"
+)
+
+// Pooler is what operators look at and change. All its calls may wait.
+type Pooler interface {
+	Figures() core.Figures
+	// Ban keeps a database out, or lets it back in. It returns when that holds; known is false if nobody has the name.
+	Ban(name string, banned bool) (known bool, err error)
+}
+
+// Server answers operators.
+type Server struct {
+	http   *http.Server
+	limits limits.Limits
+	log    zerolog.Logger
+	pooler Pooler
+}
+
+func New(l limits.Limits, log zerolog.Logger, p Pooler) *Server {
+	s := &Server{limits: l, log: log, pooler: p}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /api/ready", s.ready)
+	mux.HandleFunc("GET /api/telemetry", s.telemetry)
+	mux.HandleFunc("PUT /api/exclude/{id}", s.ban(true))
+	mux.HandleFunc("PUT /api/include/{id}", s.ban(false))
+	s.http = &http.Server{Handler: mux, ReadTimeout: l.OperatorHead, WriteTimeout: l.OperatorHead + l.OperatorCall,
+		MaxHeaderBytes: 8 << 10}
+	s.http.SetKeepAlivesEnabled(false) // one call a connection
+	return s
+}
+
+// Serve answers calls on an address until the program ends.
+func (s *Server) Serve(l net.Listener) error {
+	// Against running out of descriptors: callers that finish no call give way to others in time.
+	return s.http.Serve(netutil.LimitListener(l, s.limits.Operators))
+}
+
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	if !s.pooler.Figures().Ready {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	fmt.Fprintln(w, "ready")
+}
+
+func (s *Server) telemetry(w http.ResponseWriter, _ *http.Request) {
+	f := s.pooler.Figures()
+	var b strings.Builder
+	for _, name := range slices.Sorted(maps.Keys(f.Classes)) {
+		a := f.Classes[name]
+		fmt.Fprintf(&b, "app.downstream_requests.%s.completed=%d\n", name, a.Served)
+		fmt.Fprintf(&b, "app.downstream_requests.%s.rejected=%d\n", name, a.Refused)
+		fmt.Fprintf(&b, "app.downstream_requests.%s.failed=%d\n", name, a.Failed)
+	}
+	fmt.Fprintf(&b, "app.upstream_requests=%d\napp.pending=%d\napp.members=%d\napp.members_unavailable=%d\n",
+		f.Written, f.Pending, f.Members, f.Unavailable)
+	fmt.Fprintf(&b, "app.config_reloads=%d\napp.config_reload_errors=%d\n", f.Reloads, f.ReloadErrors)
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.Write([]byte(b.String()))
+}
+
+func (s *Server) ban(banned bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		name := r.PathValue("id")
+		type result struct {
+			known bool
+			err   error
+		}
+		done := make(chan result, 1)
+		go func() {
+			known, err := s.pooler.Ban(name, banned)
+			done <- result{known, err}
+		}()
+		select {
+		case v := <-done:
+			switch {
+			case v.err != nil:
+				s.log.Error().Err(v.err).Str("database", name).Bool("banned", banned).Msg("bans: not kept")
+				http.Error(w, "the ban cannot be kept", http.StatusInternalServerError)
+			case !v.known:
+				http.Error(w, "no database has this id", http.StatusNotFound)
+			default:
+				s.log.Info().Str("database", name).Bool("banned", banned).Msg("bans: changed")
+				fmt.Fprintln(w, "ok")
+			}
+		case <-time.After(s.limits.OperatorCall):
+			http.Error(w, "the pooler is busy; it may still be done", http.StatusServiceUnavailable)
+		}
+	}
+}
--- a/internal/net/driver.go
+++ b/internal/net/driver.go
@@ -6,6 +6,8 @@
 	"context"
 	"errors"
 	"net"
+	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -25,47 +27,104 @@
 	Front *Front
 	Pool  *Pool
 
-	limits  limits.Limits
-	log     zerolog.Logger
-	listen  string
-	ready   func() // called on the loop once, before the first client is served
-	engine  gnet.Engine
-	loop    gnet.EventLoop
-	started chan struct{}
-	ticking atomic.Bool
+	limits    limits.Limits
+	log       zerolog.Logger
+	listener  net.Listener
+	client    *gnet.Client // gnet's name for a loop that takes connections as they are, and has no listener
+	loop      gnet.EventLoop
+	started   chan struct{}
+	stopped   chan struct{}
+	ticking   atomic.Bool
+	accepting sync.WaitGroup
 }
 
-// New returns a driver that will listen on an address and call ready on its loop once that runs.
-func New(listen string, l limits.Limits, log zerolog.Logger, ready func()) *Driver {
-	return &Driver{listen: listen, limits: l, log: log, ready: ready, started: make(chan struct{})}
+// New returns a driver for clients of a listener.
+func New(l limits.Limits, log zerolog.Logger, listener net.Listener) *Driver {
+	return &Driver{limits: l, log: log, listener: listener, started: make(chan struct{}), stopped: make(chan struct{})}
 }
 
-// Run serves until Stop.
-func (d *Driver) Run() error {
-	// With reuse of the port and one loop, gnet accepts on that loop too, with no second goroutine. The address
-	// must not be tried beforehand without reuse: connections of a program that has just ended still hold it.
-	return gnet.Run(d, "tcp://"+d.listen, gnet.WithNumEventLoop(1), gnet.WithReusePort(true), gnet.WithReuseAddr(true),
-		gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithLogger(quiet{d.log}))
+// Listen takes over the listening socket that is inherited as a descriptor, or else listens on the address. An
+// inherited one is others' too: it is neither bound again nor shut down, and closing it closes only this copy.
+func Listen(fd int, addr string) (net.Listener, error) {
+	if fd == 0 {
+		return net.Listen("tcp", addr)
+	}
+	f := os.NewFile(uintptr(fd), "listener")
+	defer f.Close()
+	return net.FileListener(f)
 }
 
-// OnBoot connects to the listener once: gnet hands out its loop only with a connection.
-func (d *Driver) OnBoot(e gnet.Engine) gnet.Action {
-	d.engine = e
+// Run calls start on the loop, and serves until Stop.
+func (d *Driver) Run(start func()) (err error) {
+	if d.client, err = gnet.NewClient(d, gnet.WithNumEventLoop(1), gnet.WithTCPNoDelay(gnet.TCPNoDelay),
+		gnet.WithLogger(quiet{d.log})); err != nil {
+		return err
+	}
+	if err := d.client.Start(); err != nil {
+		return err
+	}
+	if err := d.meet(); err != nil {
+		return err
+	}
+	d.Do(start)
 	go func() {
-		for {
-			if c, err := net.DialTimeout("tcp", d.listen, time.Second); err == nil {
-				<-d.started
-				c.Close()
-				break
-			}
-		}
 		for range time.Tick(d.limits.Tick) {
 			if d.ticking.CompareAndSwap(false, true) { // Against ticks piling up behind a busy loop.
 				d.Do(d.tick)
 			}
 		}
 	}()
-	return gnet.None
+	<-d.stopped
+	return d.client.Stop()
+}
+
+// meet finds the loop: gnet hands it out only with a connection.
+func (d *Driver) meet() error {
+	pair, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return err
+	}
+	defer unix.Close(pair[0])
+	f := os.NewFile(uintptr(pair[1]), "pair")
+	defer f.Close()
+	c, err := net.FileConn(f)
+	if err != nil {
+		return err
+	}
+	_, err = d.client.Enroll(c)
+	return err
+}
+
+// Accept begins to take clients in.
+func (d *Driver) Accept() {
+	for range d.limits.Accepting { // Each waits for the loop: a few at once, as each holds two descriptors.
+		d.accepting.Add(1)
+		go func() {
+			defer d.accepting.Done()
+			for {
+				c, err := d.listener.Accept()
+				switch {
+				case errors.Is(err, net.ErrClosed):
+					return
+				case err != nil: // Against a busy loop while descriptors are short.
+					d.log.Warn().Err(err).Msg("accept")
+					time.Sleep(d.limits.Tick)
+				default:
+					d.client.EnrollContext(c, newcomer{})
+				}
+			}
+		}()
+	}
+}
+
+// Refuse stops to accept, and calls then on the loop when all that was accepted is on it. What is not accepted by then
+// is left to whom else the listener belongs to.
+func (d *Driver) Refuse(then func()) {
+	d.listener.Close()
+	go func() {
+		d.accepting.Wait()
+		d.Do(then)
+	}()
 }
 
 func (d *Driver) tick() {
@@ -86,7 +145,7 @@
 }
 
 // Stop ends Run.
-func (d *Driver) Stop() { go d.engine.Stop(context.Background()) }
+func (d *Driver) Stop() { close(d.stopped) }
 
 // socket is what a gnet connection's context holds.
 type socket interface {
@@ -94,16 +153,19 @@
 	closed(err error)
 }
 
+// newcomer marks a client's connection that is yet to be taken in.
+type newcomer struct{}
+
 func (d *Driver) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
-	if d.loop == nil {
+	switch s := c.Context().(type) {
+	case *link:
+		return s.opened(c), gnet.None
+	case newcomer:
+		c.SetContext(d.Front.accept(c))
+	default:
 		d.loop = c.EventLoop()
 		close(d.started)
-		d.ready()
-	}
-	if l, ok := c.Context().(*link); ok {
-		return l.opened(c), gnet.None
 	}
-	c.SetContext(d.Front.accept(c))
 	return nil, gnet.None
 }
 
--- a/internal/net/intake.go
+++ b/internal/net/intake.go
@@ -10,22 +10,14 @@
 type Intake struct {
 	core    *core.Core
 	backend core.Backend
-	classes map[string]int
 }
 
-// NewIntake returns an intake for classes of these names.
-func NewIntake(c *core.Core, b core.Backend, classes []string) *Intake {
-	in := &Intake{core: c, backend: b, classes: map[string]int{}}
-	for i, name := range classes {
-		in.classes[name] = i
-	}
-	return in
-}
+func NewIntake(c *core.Core, b core.Backend) *Intake { return &Intake{core: c, backend: b} }
 
 // Request makes a request of a statement. For one that is not to be taken it returns nil, the SQLSTATE and why.
 func (in *Intake) Request(front, sql string) (q *core.Request, code, why string) {
 	query, err := pg.ParseQuery(sql)
-	class, known := in.classes[query.Class]
+	number, class, known := in.core.Class(query.Class)
 	switch {
 	case err != nil:
 		return nil, pg.CodeSyntax, err.Error()
@@ -38,9 +30,9 @@
 	case in.core.IsOpen(query.ID):
 		return nil, pg.CodeBadValue, "a request of this id is open"
 	}
-	q = &core.Request{Front: front, Name: query.ID, Class: class, Group: query.Group, Expires: query.Wait,
+	q = &core.Request{Front: front, Name: query.ID, Class: number, Group: query.Group, Expires: query.Wait,
 		LastWrite: query.After, Payload: &query, Backend: in.backend}
-	if kind := in.core.Class(class).Read; kind == choice.Write || kind == choice.SessionRead {
+	if class.Read == choice.Write || class.Read == choice.SessionRead {
 		q.Session = query.Key
 	}
 	return q, "", ""
--- a/internal/net/pool.go
+++ b/internal/net/pool.go
@@ -95,11 +95,26 @@
 			}
 		}
 	}
+	if m.Banned { // Against work that was decided on before and would reach the database after the operators' yes.
+		for len(s.waiting) > 0 {
+			p.drop(s.waiting[0], choice.NotSent)
+		}
+		for l := range s.links {
+			if !l.ready {
+				l.close()
+			}
+		}
+	}
 	if m.Addr != "" {
 		s.addr = m.Addr
 	}
 }
 
+// Retune takes in how long databases take to connect and keep idle connections. What waits already waits as before.
+func (p *Pool) Retune(l limits.Limits) {
+	p.limits.ConnectTimeout, p.limits.ProbeTimeout, p.limits.ServerIdle = l.ConnectTimeout, l.ProbeTimeout, l.ServerIdle
+}
+
 // ---- Attempts and probes
 
 // Send begins an attempt.
@@ -112,7 +127,7 @@
 // Cancel ends an attempt: its connection is closed, which tells the database.
 func (p *Pool) Cancel(a *core.Attempt) {
 	if j, ok := a.Handle.(*job); ok {
-		p.drop(j)
+		p.take(j)
 	}
 }
 
@@ -137,16 +152,21 @@
 	}
 	s.waiting = append(s.waiting, j)
 	j.timer = p.core.Wheel.At(j.asked+p.limits.ConnectTimeout, func() {
-		p.drop(j)
-		p.finish(j, choice.NoConnect, nil)
+		p.drop(j, choice.NoConnect)
 	})
 	if s.dialing < len(s.waiting) {
 		p.dial(s)
 	}
 }
 
-// drop takes a job back, wherever it is.
-func (p *Pool) drop(j *job) {
+// drop ends a job as it is.
+func (p *Pool) drop(j *job, status choice.Status) {
+	p.take(j)
+	p.finish(j, status, nil)
+}
+
+// take takes a job back, wherever it is.
+func (p *Pool) take(j *job) {
 	j.timer.Stop()
 	if l := j.link; l != nil {
 		l.job, j.link = nil, nil
@@ -309,7 +329,7 @@
 func (p *Pool) expire() {
 	now := p.core.Now()
 	for _, s := range p.servers {
-		for len(s.idle) > 0 && now-s.idle[0].used > p.limits.ServerIdle {
+		for len(s.idle) > 0 && (now-s.idle[0].used > p.limits.ServerIdle || s.member.Banned) {
 			p.Count.Expired++
 			s.idle[0].close()
 		}
@@ -348,13 +368,15 @@
 	l.job, j.link = j, l
 	if a == nil {
 		j.timer = p.core.Wheel.At(now+p.limits.ProbeTimeout, func() {
-			p.drop(j)
-			p.finish(j, choice.TimedOut, nil)
+			p.drop(j, choice.TimedOut)
 		})
 		l.write(pg.AppendQuery(nil, "SHOW stats"))
 		return
 	}
 	l.write(a.Request.Payload.(*pg.Query).AppendFor(nil, a.Until-now))
+	if l.job == j && l.conn.OutboundBuffered() == 0 {
+		p.core.Written(a)
+	}
 }
 
 // write may find the connection broken, and then has called closed before it returns.
@@ -395,6 +417,9 @@
 		l.close()
 		return
 	}
+	if l.job != nil && l.job.attempt != nil { // it could answer only what has reached it
+		l.pool.core.Written(l.job.attempt)
+	}
 	reply, done, err := l.pg.Feed(data)
 	switch {
 	case err != nil:
--- a/internal/testbed/database.go
+++ b/internal/testbed/database.go
@@ -106,6 +106,13 @@
 	return d.started
 }
 
+// Open is how many connections have come up and were not cut.
+func (d *Database) Open() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.conns)
+}
+
 // Cut breaks all connections.
 func (d *Database) Cut() {
 	d.mu.Lock()
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -48,12 +49,15 @@
 	Databases []*Database
 	Known     []discovery.Entry
 
-	Sockets int // descriptors that the program may hold
+	Sockets    int    // descriptors that the program may hold
+	Settings   string // what Configure writes
+	Management string // address for operators' calls
 
 	name      string
 	config    string            // path of the program's configuration
 	files     map[string]string // text of the project's own files by variable
 	env       []string
+	listener  *os.File // the clients' listening socket, where the program inherits it
 	process   *exec.Cmd
 	exited    chan error
 	log       *output
@@ -80,13 +84,23 @@
 // WithFile gives the program one of the files of deploy/, by the variable that names it.
 func WithFile(variable, text string) Option { return func(b *Bed) { b.files[variable] = text } }
 
+// WithListener lets the program inherit the clients' listening socket.
+func WithListener(b *Bed) {
+	l, err := net.Listen("tcp", b.Addr)
+	require.NoError(b.T, err)
+	defer l.Close()
+	b.listener, err = l.(*net.TCPListener).File()
+	require.NoError(b.T, err)
+	b.T.Cleanup(func() { b.listener.Close() })
+}
+
 // WithoutDiscovery starts the program while discovery is down.
 func WithoutDiscovery(b *Bed) { b.discovery.Listener.Close() }
 
 // Start runs the program with a primary, db-0, and one replica, db-1, of group 3.
 func Start(t *testing.T, options ...Option) *Bed {
-	b := &Bed{T: t, Addr: Free(t), changes: make(chan discovery.List, 16), revision: 1, Sockets: 1024,
-		name: "n0", files: map[string]string{}}
+	b := &Bed{T: t, Addr: Free(t), changes: make(chan discovery.List, 16), revision: 1, Sockets: 1024, Settings: Settings,
+		Management: Free(t), name: "n0", files: map[string]string{}}
 	b.discovery = httptest.NewServer(http.HandlerFunc(b.serveList))
 	t.Cleanup(func() {
 		b.discovery.Listener.Close()
@@ -113,13 +127,15 @@
 	b.files["CAPERCOVE_FLIGHT"] = flight
 	b.config = write("config.json", "")
 	b.Configure("")
-	b.env = append(os.Environ(), "GW_CONFIG="+b.config, "GW_DISCOVERY="+b.discovery.Listener.Addr().String())
+	b.env = append(os.Environ(), "GW_CONFIG="+b.config, "GW_DISCOVERY="+b.discovery.Listener.Addr().String(), "TMPDIR="+dir)
+	if b.listener != nil {
+		b.env = append(b.env, "GW_LISTEN_FD=3")
+	}
 	for variable, text := range b.files {
 		b.env = append(b.env, variable+"="+write(variable, text))
 	}
 	b.log = &output{}
 	t.Cleanup(func() {
-		b.process.Process.Kill()
 		if t.Failed() {
 			t.Log(b.log.String())
 		}
@@ -135,10 +151,10 @@
 		return
 	}
 	config, err := json.Marshal(map[string]any{"name": b.name, "listen": b.Addr, "seed": "8c1f30d27a5be964",
-		"discovery": b.discovery.Listener.Addr().String(),
-		"limits":    map[string]any{"cores": 1, "memory_mb": 192, "sockets": b.Sockets},
-		"known":     discovery.List{Revision: b.revision, Complete: true, Members: b.Known},
-		"settings":  json.RawMessage(Settings)})
+		"discovery":  b.discovery.Listener.Addr().String(),
+		"limits":     map[string]any{"cores": 1, "memory_mb": 192, "sockets": b.Sockets},
+		"known":      discovery.List{Revision: b.revision, Complete: true, Members: b.Known},
+		"management": b.Management, "settings": json.RawMessage(b.Settings)})
 	require.NoError(b.T, err)
 	require.NoError(b.T, os.WriteFile(b.config, config, 0o600))
 }
@@ -154,8 +170,12 @@
 // Run starts the program, again if it has ended, and waits until it is ready.
 func (b *Bed) Run() {
 	b.process = exec.Command(Binary(b.T))
-	b.process.Env, b.process.Stderr = b.env, b.log
+	b.process.Env, b.process.Stderr = append(b.env, "GW_MANAGEMENT="+b.Management), b.log
+	if b.listener != nil {
+		b.process.ExtraFiles = []*os.File{b.listener}
+	}
 	require.NoError(b.T, b.process.Start())
+	b.T.Cleanup(func(p *os.Process) func() { return func() { p.Kill() } }(b.process.Process))
 	exited := make(chan error, 1)
 	b.exited = exited
 	go func(p *exec.Cmd) { exited <- p.Wait() }(b.process)
@@ -169,6 +189,34 @@
 	require.Equal(b.T, pg.Reply{Complete: true}, b.Client().Ask(""))
 }
 
+// Upgrade runs the program once more, with another address for operators' calls, while the old process still runs. It
+// returns what ends the old process and tells how it did.
+func (b *Bed) Upgrade() (end func() error) {
+	old, exited := b.process, b.exited
+	b.Management = Free(b.T)
+	b.Run()
+	b.Eventually(func() bool { code, _ := b.Call("GET", "/api/ready"); return code == http.StatusOK }, "it is ready")
+	return func() error {
+		require.NoError(b.T, old.Process.Signal(syscall.SIGTERM))
+		return <-exited
+	}
+}
+
+// Call makes an operator's call.
+func (b *Bed) Call(method, path string) (code int, body string) {
+	request, err := http.NewRequest(method, "http://"+b.Management+path, nil)
+	require.NoError(b.T, err)
+	request.Close = true
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer answer.Body.Close()
+	text, err := io.ReadAll(answer.Body)
+	require.NoError(b.T, err)
+	return answer.StatusCode, string(text)
+}
+
 // Eventually waits for something that must happen.
 func (b *Bed) Eventually(f func() bool, what string) {
 	b.T.Helper()
@@ -193,8 +241,8 @@
 type Counters struct {
 	Message string
 	Core    struct {
-		Fronts   map[string]Answers
-		Attempts int
+		Fronts                                   map[string]Answers
+		Attempts, Written, Reloads, ReloadErrors int
 	}
 	Front struct{ Expired int }
 }
@@ -202,6 +250,16 @@
 // Answers are the program's counts of one front.
 type Answers struct{ Taken, Served, Refused, Failed, Gone int }
 
+// UnmarshalJSON adds the counts of all classes up.
+func (a *Answers) UnmarshalJSON(text []byte) error {
+	var classes map[string]struct{ Taken, Served, Refused, Failed, Gone int }
+	err := json.Unmarshal(text, &classes)
+	for _, c := range classes {
+		*a = Answers{a.Taken + c.Taken, a.Served + c.Served, a.Refused + c.Refused, a.Failed + c.Failed, a.Gone + c.Gone}
+	}
+	return err
+}
+
 // Counters asks the program for its counters until they satisfy.
 func (b *Bed) Counters(enough func(Counters) bool) (c Counters) {
 	b.Eventually(func() bool {
