--- a/choice/api.go
+++ b/choice/api.go
@@ -110,6 +110,7 @@
 	ListChange // only the nodes that changed
 	ListFailed // a call for the list failed or the subscription broke
 	TimerFired
+	AnswerBegan     // the only attempt out answers at length: the deadline no longer binds, and its node's work is done
 	BansChanged     // by the operators
 	SettingsChanged // requests that arrived before keep their class
 )
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -117,7 +117,7 @@
 	mayRun            bool          // an attempt is out or ended without proof that it never ran
 	firstRun          time.Duration // send of the first such attempt
 	dedup             *node         // where it went
-	done              bool
+	done, begun       bool
 }
 
 // Router makes the decisions of one router.
@@ -164,6 +164,8 @@
 			if q := r.attemptDone(e.Request, &e.Outcome); q != nil {
 				place = append(place, q)
 			}
+		case AnswerBegan:
+			r.began(e.Request)
 		case ProbeDone:
 			r.probeDone(&e.Outcome)
 		case ListFull, ListChange:
@@ -451,7 +453,7 @@
 }
 
 func (r *Router) probe(n *node) {
-	if !r.set.CanProbe || n.probing || (n.State == Gone && !r.set.DrainOnly) || r.banned(n) {
+	if !r.set.CanProbe || n.probing || (n.State == Gone && !r.set.DrainOnly) {
 		return
 	}
 	n.probing, n.probed = true, r.now
@@ -819,7 +821,7 @@
 func (r *Router) sweep() {
 	keep := r.open[:0]
 	for _, q := range r.open {
-		if q.done {
+		if q.done || q.begun {
 			continue
 		}
 		switch {
--- a/choice/operators.go
+++ b/choice/operators.go
@@ -2,7 +2,8 @@
 
 import "time"
 
-// What the operators change while the router runs: its settings, and bans of nodes.
+// What the operators change while the router runs, its settings and bans of nodes; what they are shown; and answers
+// that take long to pass on.
 
 // retune takes in settings. An open request keeps its class, and no more attempts than either settings allow.
 func (r *Router) retune(s Settings) {
@@ -76,3 +77,14 @@
 	}
 	return true
 }
+
+// began takes a request whose answer is on its way out of the open ones, and its attempt out of the node's count.
+func (r *Router) began(id RequestID) {
+	if q := r.requests[id]; q != nil && !q.done && q.out > 0 {
+		q.begun = true
+		if t := &q.tries[len(q.tries)-1]; !t.lost {
+			t.lost = true
+			r.book(t.n, -1)
+		}
+	}
+}
--- a/cmd/capercove/main.go
+++ b/cmd/capercove/main.go
@@ -149,8 +149,9 @@
 	log.Info().Str("listen", cfg.Listen).Int("members", len(cfg.Known.Members)).Msg("starting")
 	start := func() {
 		p.core.Known(cfg.Known.Entries(cfg.Facts.Zones))
-		p.core.Start()
-		go p.bans.Watch(ctx, l.Bans) // what it finds is on the loop behind this, and before the first client
+		p.bans.Look()
+		p.driver.Do(p.core.Start) // behind the bans: they hold before anything is sent
+		go p.bans.Watch(ctx, l.Bans)
 	}
 	if err := p.driver.Run(start); err != nil {
 		return fmt.Errorf("event loop: %w", err)
--- a/internal/bans/bans.go
+++ b/internal/bans/bans.go
@@ -33,7 +33,7 @@
 	broken string // the last error that was logged
 }
 
-// Open reads the set of a pooler. From then on changed is called with every new set, which must not be changed.
+// Open returns the set of a pooler, not yet looked at. Every new set is given to changed, which must not change it.
 func Open(dir, pooler string, log zerolog.Logger, changed func(Set)) *File {
 	return &File{path: filepath.Join(dir, "capercove-bans-"+url.PathEscape(pooler)+".json"), log: log, changed: changed,
 		set: Set{}}
@@ -44,9 +44,7 @@
 	tick := time.NewTicker(every)
 	defer tick.Stop()
 	for ctx.Err() == nil {
-		f.mu.Lock()
-		f.look()
-		f.mu.Unlock()
+		f.Look()
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
@@ -54,6 +52,13 @@
 	}
 }
 
+// Look takes in what another process has changed.
+func (f *File) Look() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.look()
+}
+
 // look takes in the file if it is another than the last one. One that cannot be read is logged, and the set is kept.
 func (f *File) look() {
 	info, err := os.Stat(f.path)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -22,6 +22,13 @@
 	Failed(why Failure)
 }
 
+// Streamer is a client that can take a long answer in pieces. Served or Failed follows the last one.
+type Streamer interface {
+	// Piece passes bytes on; they are the callee's only until it returns. If there is no room for more, it returns false
+	// and calls more once, later, when there is.
+	Piece(data []byte, more func()) bool
+}
+
 // Failure tells why a request failed.
 type Failure uint8
 
@@ -85,6 +92,7 @@
 
 	number int
 	sent   time.Duration
+	first  time.Duration // its answer's first piece; 0 for one that comes whole
 	timer  *wheel.Timer
 	done   bool
 	whole  bool // it has been written whole
@@ -309,6 +317,39 @@
 	return true
 }
 
+// Piece passes on a piece of a long answer, as Streamer does. With the first one the request is bound to this attempt,
+// and from then on only progress is timed: cut off at the deadline, what the database still gives would be lost.
+func (c *Core) Piece(a *Attempt, data []byte, more func()) (room, ok bool) {
+	q := a.Request
+	if q.began != a && !c.Began(a) || a.done || q.done {
+		return false, false
+	}
+	now := c.clock()
+	if a.first == 0 {
+		a.first = now
+		q.guard.Stop()
+		c.push(choice.Event{Kind: choice.AnswerBegan, Request: q.id})
+	}
+	silent := func() { // Against a database that stops halfway.
+		a.timer.Stop()
+		a.timer = c.Wheel.At(min(c.clock()+c.limits.PieceWait, a.first+c.limits.AnswerLongest),
+			func() { c.cancel(a, choice.TimedOut) })
+	}
+	s, ok := q.Client.(Streamer)
+	if !ok || s.Piece(data, func() {
+		if !a.done {
+			silent()
+			more()
+		}
+	}) {
+		silent()
+		return true, true
+	}
+	a.timer.Stop() // the client's own progress is timed by its front
+	a.timer = c.Wheel.At(a.first+c.limits.AnswerLongest, func() { c.cancel(a, choice.TimedOut) })
+	return false, true
+}
+
 // Done ends an attempt. With OK the answer goes to the client, if the request is not over.
 func (c *Core) Done(a *Attempt, status choice.Status, note choice.Evidence, answer any) {
 	if a.done {
@@ -331,8 +372,12 @@
 			q.Client.Failed(failure(status == choice.TimedOut))
 		}
 	}
+	took := c.clock() - a.sent
+	if a.first > 0 { // what the client took to read is not the database's time
+		took = a.first - a.sent
+	}
 	c.push(choice.Event{Kind: choice.AttemptDone, Request: q.id, Outcome: choice.Outcome{Node: a.Member.ID,
-		Attempt: a.number, Status: status, Took: c.clock() - a.sent, Final: q.done, Note: note}})
+		Attempt: a.number, Status: status, Took: took, Final: q.done, Note: note}})
 	c.forget(q)
 }
 
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -18,7 +18,11 @@
 	IdleEach      int   // idle connections kept to one database
 	Requests      int   // requests open at once; a further one is refused
 	Pipeline      int   // commands of one client connection that await their answers
-	MessageBytes  int   // longest message taken from a client or a database
+	MessageBytes  int   // longest message held whole, from a client or a database
+	AnswerWhole   int   // a database's value up to this is held whole, a longer one is passed on in pieces
+	AnswerBytes   int   // longest value taken from a database
+	SocketBytes   int   // what the system may hold for a connection, each way; left to itself it is megabytes
+	PieceBytes    int   // a long answer is read in pieces of this, and stops while its client has more unread
 	InputBytes    int   // bytes that a client may send ahead of its answers before it is closed
 	ClientBytes   int   // what all clients' connections may hold of both; the next to add to it is closed
 	OutputBytes   int   // answers that a client may leave unread before it is closed
@@ -45,7 +49,11 @@
 	ClientIdle     time.Duration // a client's connection may be closed for others after this long without a request
 	ClientBrief    time.Duration // ... or this long in a crowd
 	ClientMute     time.Duration // ... or this long before it has started
-	ClientMessage  time.Duration // a client's message is whole this long after its first byte
+	ClientMessage  time.Duration // a client's message goes on after this long without a byte of it
+	ClientSlowest  time.Duration // ... and is whole this long after its first byte
+	ClientReads    time.Duration // a client that has bytes to read takes some within this
+	PieceWait      time.Duration // a database goes on with a long answer within this
+	AnswerLongest  time.Duration // a long answer is whole this long after its first bytes
 	ClientLeaving  time.Duration // one that is turned away has this long to read why
 	WatchAnswer    time.Duration // discovery's answer begins by then
 	WatchSilence   time.Duration // a watch that is silent this long is broken
@@ -91,6 +99,10 @@
 		Requests:      20000,
 		Pipeline:      8,
 		MessageBytes:  256 << 10,
+		AnswerWhole:   64 << 10,
+		AnswerBytes:   16 << 20,
+		PieceBytes:    64 << 10,
+		SocketBytes:   128 << 10,
 		InputBytes:    2 << 20,
 		ClientBytes:   int(memory / 3),
 		OutputBytes:   1 << 20,
@@ -113,11 +125,15 @@
 		ConnectTimeout: connect,
 		ProbeTimeout:   connect,
 		ServerIdle:     keepalive * 3 / 4,
-		Startup:        2 * time.Second,
+		Startup:        2500 * time.Millisecond, // a slow one takes 2 s
 		ClientIdle:     2 * time.Second,
 		ClientBrief:    250 * time.Millisecond,
 		ClientMute:     250 * time.Millisecond,
 		ClientMessage:  2500 * time.Millisecond,
+		ClientSlowest:  30 * time.Second,
+		ClientReads:    10 * time.Second,
+		PieceWait:      10 * time.Second,
+		AnswerLongest:  time.Minute,
 		ClientLeaving:  250 * time.Millisecond,
 		WatchAnswer:    2500 * time.Millisecond,
 		WatchSilence:   3200 * time.Millisecond, // a line comes every 2 s
--- a/internal/management/management_test.go
+++ b/internal/management/management_test.go
@@ -19,7 +19,7 @@
 // The figures are those of the counters, for each class; callers that finish no call keep nobody out.
 func TestTelemetry(t *testing.T) {
 	b := testbed.Start(t)
-	for range 12 {
+	for range 40 {
 		c, err := net.Dial("tcp", b.Management)
 		require.NoError(t, err)
 		defer c.Close()
@@ -77,7 +77,8 @@
 		code, _ := b.Call("PUT", "/api/exclude/db-1")
 		require.Equal(t, 200, code)
 	}
-	before := len(banned.Got())
+	time.Sleep(second / 10) // what was on its way has come
+	before, probes := len(banned.Got()), banned.Probes()
 	b.List(b.Entry(1, "DELETED"))
 	b.List(b.Entry(1, "SERVING"))
 	reads(50)
@@ -86,7 +87,9 @@
 	b.Run()
 	c = b.Client()
 	reads(50)
+	time.Sleep(2 * second) // probes would come each second
 	require.Len(t, banned.Got(), before)
+	require.Equal(t, probes, banned.Probes())
 	b.Eventually(func() bool {
 		_, figures := b.Call("GET", "/api/telemetry")
 		return strings.Contains(figures, "members_unavailable=1\n")
--- a/internal/net/driver.go
+++ b/internal/net/driver.go
@@ -57,6 +57,7 @@
 // Run calls start on the loop, and serves until Stop.
 func (d *Driver) Run(start func()) (err error) {
 	if d.client, err = gnet.NewClient(d, gnet.WithNumEventLoop(1), gnet.WithTCPNoDelay(gnet.TCPNoDelay),
+		gnet.WithSocketSendBuffer(d.limits.SocketBytes), gnet.WithSocketRecvBuffer(d.limits.SocketBytes),
 		gnet.WithLogger(quiet{d.log})); err != nil {
 		return err
 	}
--- a/internal/net/front.go
+++ b/internal/net/front.go
@@ -84,8 +84,10 @@
 	since   time.Duration // it was opened, or has had its last answer
 	patient *wheel.Timer  // of its startup, or of an incomplete message
 	timer   *wheel.Timer  // of later
-	closing bool          // it ends when all has gone out,
-	endBy   time.Duration // or then
+	closing bool          // it ends when all has gone out
+	begun   time.Duration // the incomplete message
+	unread  int           // bytes that it had yet to take when last looked at
+	moved   time.Duration // when that was last another number
 	held    int
 	ending  bool // nothing more is read
 	used    bool // it has had an answer, or was there before the front drained
@@ -98,7 +100,9 @@
 	request *core.Request // nil for a ready-made answer
 	answer  []byte
 	ready   bool
-	last    bool // the connection ends behind it
+	last    bool   // the connection ends behind it
+	passed  bool   // some of the answer has been written
+	more    func() // asks for the next piece of the answer; nil: none is to be asked for
 }
 
 func (f *Front) accept(c gnet.Conn) *client {
@@ -203,9 +207,14 @@
 // wait notes that the next message is incomplete, or yet to come. Against connections held by half a message.
 func (k *client) wait() {
 	begun := k.session.Held() > 0
-	if !k.mute && begun && !k.partial {
+	if !k.mute && begun {
+		now := k.front.core.Now()
+		if !k.partial {
+			k.begun = now
+		}
 		k.patient.Stop()
-		k.patient = k.front.core.Wheel.At(k.front.core.Now()+k.front.limits.ClientMessage, k.overdue)
+		k.patient = k.front.core.Wheel.At(min(now+k.front.limits.ClientMessage, k.begun+k.front.limits.ClientSlowest),
+			k.overdue)
 	}
 	k.partial = begun
 }
@@ -257,12 +266,52 @@
 	f.log.Warn().Str("why", why).Int64("so_far", f.Count.Bad).Msg("bad input")
 }
 
-// Served passes on the value as the database gave it.
-func (s *slot) Served(answer any) { s.set(pg.AppendReady(answer.([]byte))) }
+// Served passes on the value as the database gave it, or the rest of it.
+func (s *slot) Served(answer any) { s.set(pg.AppendReady(append(s.answer, answer.([]byte)...))) }
+
+// Piece passes on a piece of a long value, as core.Streamer wants it.
+func (s *slot) Piece(data []byte, more func()) bool {
+	k := s.client
+	s.answer = append(s.answer, data...)
+	if k.slots[0] == s {
+		k.flush()
+	}
+	if len(s.answer) == 0 && k.room() {
+		return true
+	}
+	s.more = more
+	k.later()
+	return false
+}
+
+// room tells whether the client may be given more of a long answer: one after the other, in the memory that all have.
+func (k *client) room() bool {
+	return !k.gone && k.conn.OutboundBuffered() <= k.front.limits.PieceBytes &&
+		k.front.held <= k.front.limits.ClientBytes/2
+}
+
+// resume asks for the next piece of a long answer when there is room for it.
+func (k *client) resume() {
+	if len(k.slots) == 0 || k.slots[0].more == nil {
+		return
+	}
+	if s := k.slots[0]; len(s.answer) == 0 && k.room() {
+		more := s.more
+		s.more = nil
+		more()
+		return
+	}
+	k.later()
+}
 
 func (s *slot) Refused(after time.Duration) { s.set(pg.AppendRefusal(nil, after)) }
 
 func (s *slot) Failed(why core.Failure) {
+	if s.passed { // Against half a value that looks like a whole one: the client sees the connection end.
+		s.last = true
+		s.set(nil)
+		return
+	}
 	switch why {
 	case core.Late:
 		s.set(pg.AppendFailure(nil, pg.CodeQueryCanceled, "no answer in time; it may have run"))
@@ -274,7 +323,7 @@
 }
 
 func (s *slot) set(answer []byte) {
-	s.answer, s.ready = answer, true
+	s.answer, s.ready, s.more = answer, true, nil
 	if len(s.client.slots) > 0 && s.client.slots[0] == s {
 		s.client.read() // which flushes, and reads on if the pipeline was full
 	}
@@ -284,9 +333,14 @@
 func (k *client) flush() {
 	var out []byte
 	last := false
-	for len(k.slots) > 0 && k.slots[0].ready && !last {
-		out = append(out, k.slots[0].answer...)
-		last = k.slots[0].last
+	for len(k.slots) > 0 && !last {
+		s := k.slots[0]
+		out = append(out, s.answer...)
+		s.passed = s.passed || len(s.answer) > 0
+		if s.answer = nil; !s.ready {
+			break
+		}
+		last = s.last
 		k.slots = k.slots[1:]
 	}
 	if k.gone {
@@ -314,11 +368,18 @@
 	l := &k.front.limits
 	unread, ahead := k.conn.OutboundBuffered(), k.session.Held()
 	k.weigh(unread + ahead)
+	now := k.front.core.Now()
+	if unread != k.unread {
+		k.unread, k.moved = unread, now
+	}
 	switch {
+	case unread > 0 && now-k.moved > l.ClientReads:
+		k.front.bad("an answer is left unread")
+		closeNow(k.conn)
 	case unread > l.OutputBytes || ahead > l.InputBytes || k.front.held > l.ClientBytes && k.held > 0:
 		k.front.bad("more is sent or left unread than is held")
 		closeNow(k.conn)
-	case unread > 0:
+	case unread > 0 || len(k.slots) > 0 && k.slots[0].more != nil:
 		k.later()
 	}
 }
@@ -338,17 +399,13 @@
 }
 
 // end closes the connection once all that was written has gone out: gnet would drop what the socket does not
-// take at once. A client that does not read has a while for it.
+// take at once. A client that does not read is closed by check.
 func (k *client) end() {
-	now := k.front.core.Now()
-	if !k.closing {
-		k.closing, k.ending = true, true
-		k.endBy = now + k.front.limits.Startup
-	}
-	if k.conn.OutboundBuffered() == 0 || now > k.endBy {
+	k.closing, k.ending = true, true
+	if k.conn.OutboundBuffered() == 0 {
 		closeNow(k.conn)
 	} else {
-		k.later()
+		k.check()
 	}
 }
 
@@ -357,12 +414,15 @@
 	if k.timer != nil {
 		return
 	}
-	k.timer = k.front.core.Wheel.At(k.front.core.Now()+4*k.front.limits.Tick, func() {
+	k.timer = k.front.core.Wheel.At(k.front.core.Now()+2*k.front.limits.Tick, func() {
 		k.timer = nil
 		if k.closing {
 			k.end()
-		} else {
-			k.read()
+			return
+		}
+		k.read()
+		if !k.gone {
+			k.resume()
 		}
 	})
 }
--- /dev/null
+++ b/internal/net/held.go
@@ -0,0 +1,85 @@
+package net
+
+import (
+	"errors"
+	"net"
+	"os"
+
+	"capercove/choice"
+)
+
+var errLong = errors.New("a report of this length")
+
+// held reads a connection on a goroutine of its own, one piece each time it is told to. gnet reads whatever comes, as
+// fast as it comes: a long answer to a slow client would fill the memory.
+type held struct {
+	conn net.Conn
+	next chan struct{}
+	room bool // for the next piece
+}
+
+// hold takes the connection out of gnet: a duplicate of the socket lives on.
+func (l *link) hold() error {
+	fd, err := l.conn.Dup()
+	if err != nil {
+		return err
+	}
+	f := os.NewFile(uintptr(fd), "database")
+	defer f.Close()
+	conn, err := net.FileConn(f)
+	if err != nil {
+		return err
+	}
+	l.held = &held{conn: conn, next: make(chan struct{}, 1)}
+	closeNow(l.conn)
+	go l.readOn(l.held)
+	return nil
+}
+
+// readOn reads until the connection or its next is closed. The buffer is the loop's until it asks for more.
+func (l *link) readOn(h *held) {
+	buf := make([]byte, l.pool.limits.PieceBytes)
+	for range h.next {
+		n, err := h.conn.Read(buf)
+		l.pool.driver.Do(func() {
+			if n > 0 {
+				l.traffic(buf[:n])
+			}
+			if err != nil && !l.dead {
+				l.broken()
+			}
+		})
+	}
+}
+
+func (h *held) close() {
+	h.conn.Close()
+	close(h.next)
+}
+
+// passOn gives a piece of a long answer to the client. It returns false if that ended the connection.
+func (l *link) passOn(piece []byte) bool {
+	p, a := l.pool, l.job.attempt
+	if a == nil { // a probe has no answer of this length
+		l.spoilt(errLong)
+		return false
+	}
+	if l.held == nil {
+		p.Count.Long++
+		if err := l.hold(); err != nil {
+			l.spoilt(err)
+			return false
+		}
+	}
+	room, ok := p.core.Piece(a, piece, func() {
+		l.held.room = true
+		if !l.dead {
+			l.held.next <- struct{}{}
+		}
+	})
+	l.held.room = room
+	if !ok { // the request is over
+		p.drop(l.job, choice.Cancelled)
+	}
+	return ok
+}
--- a/internal/net/pool.go
+++ b/internal/net/pool.go
@@ -34,7 +34,7 @@
 
 // PoolCounters count connections to databases.
 type PoolCounters struct {
-	Dials, DialsFailed, Reused, Stale, Expired, Evicted, TooLate, Capped, Unasked, BadReplies int64
+	Dials, DialsFailed, Reused, Stale, Expired, Evicted, TooLate, Capped, Unasked, BadReplies, Long int64
 }
 
 // server is one database.
@@ -70,6 +70,7 @@
 	used   time.Duration
 	timer  *wheel.Timer
 	cancel context.CancelFunc // of the dial
+	held   *held              // what reads the rest of a long answer in gnet's place
 }
 
 func NewPool(d *Driver, l limits.Limits, log zerolog.Logger, c *core.Core) *Pool {
@@ -233,7 +234,7 @@
 func status(r *pg.Reply) choice.Status {
 	switch r.Code {
 	case "":
-		if r.Value != nil {
+		if r.Value != nil || r.Long {
 			return choice.OK
 		}
 		return choice.NodeError
@@ -266,7 +267,7 @@
 	p.links++
 	s.dialing++
 	ctx, cancel := context.WithCancel(context.Background())
-	l := &link{pool: p, server: s, addr: s.addr, pg: pg.NewLink(p.limits.MessageBytes), cancel: cancel}
+	l := &link{pool: p, server: s, addr: s.addr, pg: pg.NewLink(p.limits.MessageBytes, p.limits.AnswerWhole, p.limits.AnswerBytes), cancel: cancel}
 	s.links[l] = struct{}{}
 	// Against an address that never answers, and a startup that is never finished.
 	l.timer = p.core.Wheel.At(p.core.Now()+p.limits.ConnectTimeout, func() {
@@ -421,11 +422,16 @@
 		l.pool.core.Written(l.job.attempt)
 	}
 	reply, done, err := l.pg.Feed(data)
+	if piece := l.pg.Piece(); err == nil && piece != nil && !l.passOn(piece) {
+		return
+	}
 	switch {
 	case err != nil:
 		l.spoilt(err)
 	case done:
 		l.reply(&reply)
+	case l.held != nil && l.held.room && !l.dead:
+		l.held.next <- struct{}{}
 	}
 }
 
@@ -467,7 +473,7 @@
 		if j.attempt == nil && r.Code == pg.CodeNotNow {
 			result = choice.NodeFull
 		}
-		if r.Fatal {
+		if r.Fatal || l.held != nil {
 			l.close()
 		} else {
 			l.free()
@@ -488,7 +494,7 @@
 	if j == nil {
 		return
 	}
-	if r := l.pg.Partial(); r.Complete && r.Value != nil { // The whole answer had come.
+	if r := l.pg.Partial(); r.Complete && (r.Value != nil || r.Long) { // The whole answer had come.
 		l.pool.finish(j, choice.OK, &r)
 		return
 	}
@@ -497,7 +503,7 @@
 
 // closed is told by the driver, also of closes of our own.
 func (l *link) closed(err error) {
-	if l.dead {
+	if l.dead || l.held != nil {
 		return
 	}
 	unsent := l.writes || l.conn.OutboundBuffered() > 0 &&
@@ -532,5 +538,9 @@
 			break
 		}
 	}
-	closeNow(l.conn)
+	if l.held != nil {
+		l.held.close()
+	} else {
+		closeNow(l.conn)
+	}
 }
--- a/internal/pg/link.go
+++ b/internal/pg/link.go
@@ -19,6 +19,7 @@
 	Mode     string        // ParameterStatus mode
 	Position time.Duration // ParameterStatus wal_time, from the Unix epoch; 0: none
 	Fatal    bool          // the connection cannot be used again
+	Long     bool          // the row has been passed on in pieces; Rows holds the rest
 }
 
 var (
@@ -29,13 +30,25 @@
 // Link is our side of one connection to a database. One query is out at a time.
 type Link struct {
 	in      framer
+	whole   int // a longer row comes in pieces
+	longest int // value
 	started bool
 	last    byte // of T, D, C and I in this reply
 	reply   Reply
+	left    int    // bytes of the long row that are yet to come
+	piece   []byte // of it, to be passed on
 }
 
-func NewLink(maxMessage int) *Link {
-	return &Link{in: framer{limit: maxMessage}}
+// NewLink returns a link that holds messages of up to maxMessage, and passes on rows of over whole bytes in pieces.
+func NewLink(maxMessage, whole, longest int) *Link {
+	return &Link{in: framer{limit: maxMessage}, whole: min(whole, maxMessage), longest: longest}
+}
+
+// Piece returns what has come of a long row since the last call, with all that goes before it; nil if there is none.
+func (l *Link) Piece() []byte {
+	piece := l.piece
+	l.piece = nil
+	return piece
 }
 
 // Resume takes a connection that has started already.
@@ -49,6 +62,21 @@
 func (l *Link) Feed(data []byte) (reply Reply, done bool, err error) {
 	l.in.buf = append(l.in.buf, data...)
 	for !done {
+		if l.left == 0 {
+			if wait, err := l.long(); wait || err != nil {
+				return Reply{}, false, err
+			}
+		}
+		if l.left > 0 {
+			n := min(l.left, len(l.in.buf))
+			l.piece = append(l.piece, l.in.buf[:n]...)
+			l.left -= n
+			if l.in.buf = l.in.buf[n:]; len(l.in.buf) > 0 {
+				continue
+			}
+			l.in.buf = nil
+			return Reply{}, false, nil
+		}
 		kind, body, ok, err := l.in.next(true)
 		if err != nil || !ok {
 			return Reply{}, false, err
@@ -63,6 +91,31 @@
 	return reply, true, nil
 }
 
+// long begins to pass a row on if it is too long to be held. Its head is checked; of its value only the length is known.
+func (l *Link) long() (wait bool, err error) {
+	const head = 11 // type, length, one column, its length
+	b := l.in.buf
+	if !l.started || len(b) < 5 || b[0] != 'D' || binary.BigEndian.Uint32(b[1:]) <= uint32(l.whole) {
+		return false, nil
+	}
+	if l.last != 'T' || l.reply.Code != "" {
+		return false, errUnexpected
+	}
+	size := int64(binary.BigEndian.Uint32(b[1:]))
+	if size > int64(l.longest)+head-1 { // Against a claim that keeps coming.
+		return false, errTooLong
+	}
+	if len(b) < head {
+		return true, nil
+	}
+	if binary.BigEndian.Uint16(b[5:]) != 1 || int64(binary.BigEndian.Uint32(b[7:])) != size-head+1 {
+		return false, errMalformed
+	}
+	l.piece, l.reply.Rows = l.reply.Rows, nil
+	l.left, l.last, l.reply.Long = int(size)+1, 'D', true
+	return false, nil
+}
+
 // message takes in one message. Each has its place and its form: a spoilt answer must not pass for a whole one.
 func (l *Link) message(kind byte, body []byte) (done bool, err error) {
 	r := &l.reply
--- a/internal/testbed/database.go
+++ b/internal/testbed/database.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/binary"
 	"fmt"
 	"maps"
 	"net"
@@ -31,7 +32,8 @@
 // Database is a stand-in for one database on both wires. What it does with a statement is told by the first of
 // these words in it: full (turned away), fail (an error), miss (not the primary), cut (the connection breaks),
 // half (a Flight stream stops after a batch), hang (no answer), endless (a Flight stream without end), one of
-// spoilt (see there), unusable (as that of a bad client). All other statements are served.
+// spoilt (see there), unusable (as that of a bad client), long (the value Long), torn (the same, but the connection
+// breaks halfway). All other statements are served.
 type Database struct {
 	ID, Addr, Flight string
 
@@ -40,13 +42,18 @@
 	mu      sync.Mutex
 	got     []string
 	started int
+	probes  int
 	ended   int // hangs and endless streams that the pooler ended
 	frozen  bool
 	conns   map[net.Conn]bool
 	grpc    *grpc.Server
 }
 
-var words = append(slices.Collect(maps.Keys(spoilt)), "full", "fail", "miss", "cut", "half", "hang", "endless", "unusable")
+var words = append(slices.Collect(maps.Keys(spoilt)), "full", "fail", "miss", "cut", "half", "hang", "endless", "unusable",
+	"long", "torn")
+
+// Long is the value of a long answer.
+var Long = strings.Repeat("0123456789abcdef", 4<<20/16)
 
 // spoilt are ways to spoil a good answer.
 var spoilt = map[string]func(good []byte) []byte{
@@ -92,6 +99,13 @@
 	return append([]string{}, d.got...)
 }
 
+// Probes is how many probes have come.
+func (d *Database) Probes() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.probes
+}
+
 // Ended is how many statements the pooler has ended before they were answered.
 func (d *Database) Ended() int {
 	d.mu.Lock()
@@ -218,6 +232,10 @@
 			if word == "cut" {
 				return
 			}
+			if word == "torn" {
+				c.Write(reply[:len(reply)/2])
+				return
+			}
 			c.Write(reply)
 		}
 	}
@@ -225,6 +243,9 @@
 
 func (d *Database) answer(sql string) (reply []byte, word string) {
 	if sql == "SHOW stats" {
+		d.mu.Lock()
+		d.probes++
+		d.mu.Unlock()
 		x1 := 0
 		if d.primary {
 			x1 = 1
@@ -243,7 +264,11 @@
 	case "hang", "cut":
 		return nil, word
 	}
-	reply = row(d.parameters(nil), "from "+d.ID)
+	value := "from " + d.ID
+	if word == "long" || word == "torn" {
+		value = Long
+	}
+	reply = row(d.parameters(nil), value)
 	if spoil := spoilt[word]; spoil != nil {
 		reply = spoil(reply)
 	}
@@ -261,8 +286,8 @@
 // row is an answer of one value.
 func row(b []byte, value string) []byte {
 	b = append(b, "T\x00\x00\x00\x1c\x00\x01val\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x11\xff\xff\xff\xff\xff\xff\x00\x01"...)
-	size := len(value)
-	b = append(b, 'D', 0, 0, byte((size+10)>>8), byte(size+10), 0, 1, 0, 0, byte(size>>8), byte(size))
+	b = binary.BigEndian.AppendUint32(append(b, 'D'), uint32(len(value)+10))
+	b = binary.BigEndian.AppendUint32(append(b, 0, 1), uint32(len(value)))
 	b = append(b, value...)
 	return pg.AppendReady(append(b, "C\x00\x00\x00\x0dSELECT 1\x00"...))
 }
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -207,7 +207,7 @@
 	request, err := http.NewRequest(method, "http://"+b.Management+path, nil)
 	require.NoError(b.T, err)
 	request.Close = true
-	answer, err := http.DefaultClient.Do(request)
+	answer, err := (&http.Client{Timeout: Patience}).Do(request)
 	if err != nil {
 		return 0, err.Error()
 	}
@@ -226,6 +226,16 @@
 // Signal sends a signal to the program.
 func (b *Bed) Signal(s syscall.Signal) { require.NoError(b.T, b.process.Process.Signal(s)) }
 
+// Memory is how many bytes of memory the program holds.
+func (b *Bed) Memory() (bytes int) {
+	var size, pages int
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", b.process.Process.Pid))
+	require.NoError(b.T, err)
+	_, err = fmt.Sscan(string(text), &size, &pages)
+	require.NoError(b.T, err)
+	return pages * os.Getpagesize()
+}
+
 // Wait waits for the program's end.
 func (b *Bed) Wait() error {
 	select {
@@ -354,7 +364,7 @@
 // Next reads the next answer.
 func (c *Client) Next() pg.Reply {
 	c.t.Helper()
-	link := pg.NewLink(1 << 20)
+	link := pg.NewLink(8<<20, 8<<20, 8<<20)
 	if c.started { // as the link sees it: the answer to the startup ends with the first ReadyForQuery
 		link.Resume()
 	}
@@ -383,9 +393,9 @@
 }
 
 var (
-	build  sync.Once
-	binary string
-	failed error
+	build   sync.Once
+	program string
+	failed  error
 )
 
 // Binary builds the program once a test process and returns its path.
@@ -396,13 +406,13 @@
 			failed = err
 			return
 		}
-		binary = filepath.Join(dir, "capercove")
-		if out, err := exec.Command("go", "build", "-o", binary, "capercove/cmd/capercove").CombinedOutput(); err != nil {
+		program = filepath.Join(dir, "capercove")
+		if out, err := exec.Command("go", "build", "-o", program, "capercove/cmd/capercove").CombinedOutput(); err != nil {
 			failed = fmt.Errorf("%w: %s", err, out)
 		}
 	})
 	require.NoError(t, failed)
-	return binary
+	return program
 }
 
 // Free returns an address on which nothing listens.
