--- a/choice/api.go
+++ b/choice/api.go
@@ -137,11 +137,12 @@
 	Cancelled         // it may have run
 	NotSent           // the request was over before the attempt was sent
 	TurnedAway        // a write at a replica or a read too fresh for the node; it never ran
+	NoProcess         // no connection, as the node's machine says that nothing listens; it never ran
 )
 
 // NeverRan tells whether the status proves that the attempt had no effect.
 func (s Status) NeverRan() bool {
-	return s == NodeFull || s == NoConnect || s == NotSent || s == TurnedAway
+	return s == NodeFull || s == NoConnect || s == NoProcess || s == NotSent || s == TurnedAway
 }
 
 // Outcome ends an attempt or a probe.
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -68,7 +68,7 @@
 	mean                     float64       // of inFlight, over presumeOver
 	meanAt                   time.Duration // up to here
 	fails, completed         int           // failures since its last answer; completions in this loop period
-	down, mute               bool          // only probes are sent; and these do not bring it back
+	down, mute, died         bool          // only probes are sent; and these do not bring it back; no process there
 	downAt, retryAt, backoff time.Duration // for a mute one: when it is given one request, the next pause
 	unproven, probing        bool          // back from being down and yet to answer a request; a probe is out
 	heard, answered          time.Duration // last answer or probe; last answer to a request
@@ -433,6 +433,7 @@
 			r.revive(n)
 		}
 	default:
+		n.died = n.died || o.Status == NoProcess
 		if n.fails++; n.fails >= 2 {
 			r.suspect(n, false)
 		}
@@ -440,14 +441,15 @@
 	n.probing = false
 }
 
-// revive brings a node back that answers again. One long away is taken for cold, unless it kept up with the
-// log: then it ran all the while, and merely took no connection.
+// revive brings a node back that answers again. One whose process was not there for long is taken for cold, unless it
+// kept up with the log: then it ran all the while. One that was merely silent, as behind a cut, has run on, too.
 func (r *Router) revive(n *node) {
-	if !n.down {
+	died := n.died
+	if n.died = false; !n.down {
 		return
 	}
 	n.down, n.unproven = false, true
-	if !n.mute && r.now-max(n.downAt, n.position) > restarted {
+	if died && !n.mute && r.now-max(n.downAt, n.position) > restarted {
 		n.coldAt = r.now
 	}
 }
@@ -529,7 +531,7 @@
 	t := &q.tries[o.Attempt]
 	n := t.n
 	t.pending, t.ended = false, r.now
-	if o.Status != NoConnect && o.Status != NotSent {
+	if o.Status != NoConnect && o.Status != NoProcess && o.Status != NotSent {
 		q.letGo = q.deadline
 	}
 	q.out--
@@ -572,7 +574,8 @@
 // sample books what an outcome tells of its node: health, latency, the loop's sample.
 func (r *Router) sample(n *node, q *request, o *Outcome) {
 	switch o.Status {
-	case NoConnect, BrokenOff, NodeError: // Sound nodes err, and reset connections.
+	case NoConnect, NoProcess, BrokenOff, NodeError: // Sound nodes err, and reset connections.
+		n.died = n.died || o.Status == NoProcess
 		if n.fails++; n.fails >= 3 || n.fails == 2 && o.Status != NodeError {
 			r.suspect(n, o.Status == NodeError)
 		}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -609,3 +609,24 @@
 	h.probed(1, Primary, h.now)
 	h.want("write while it runs", h.arrive(8, classWrite), Send)
 }
+
+// Incident rude+garble+fleet: a node behind a cut has run on, and takes its share at once when it is back; one whose
+// process was not there is taken for cold.
+func TestBackFromACut(t *testing.T) {
+	for status, cold := range map[Status]bool{NoConnect: false, NoProcess: true} {
+		h := newHarness(t, settings())
+		for range 2 {
+			h.step(Event{Kind: ProbeDone, Outcome: Outcome{Node: 2, Status: status}})
+		}
+		behind := h.now
+		n := h.r.byID[2]
+		if !n.down {
+			t.Fatal("node 2 is unreachable and in service")
+		}
+		h.now += 5 * time.Second
+		h.probed(2, Replica, behind) // it was cut off from its primary, too
+		if n.down || (h.r.warmth(n) < 1) != cold {
+			t.Fatalf("after %v node 2 is down: %v, warmth %v", status, n.down, h.r.warmth(n))
+		}
+	}
+}
--- a/choice/operators.go
+++ b/choice/operators.go
@@ -29,7 +29,7 @@
 		if _, still := bans[id]; still || n == nil {
 			continue
 		}
-		n.down, n.mute, n.fails, n.backoff, n.unproven = false, false, 0, 0, true
+		n.down, n.mute, n.died, n.fails, n.backoff, n.unproven = false, false, false, 0, 0, true
 		if r.now-at > restarted {
 			n.coldAt = r.now
 		}
--- a/choice/scale_test.go
+++ b/choice/scale_test.go
@@ -234,12 +234,13 @@
 }
 
 // Nodes that take no more connections answer their probes and keep up with the log: back after seconds, they are not
-// taken for cold, but one that stood still meanwhile is. Without probes to spare they are tried by requests.
+// taken for cold, but one that stood still meanwhile, with no process there, is. Without probes to spare they are tried by requests.
 func TestScarceConnections(t *testing.T) {
 	for _, kept := range []bool{true, false} {
 		h := newHarness(t, settings())
 		n := h.r.byID[2]
 		h.r.suspect(n, false)
+		n.died = true
 		before := n.position
 		h.r.probes = 0
 		h.now += 5 * time.Second
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -112,7 +112,8 @@
 	Overdue                             int64                          // failed by the core's own guard: a fault in this program
 	Attempts, Cancelled                 int64
 	Served, Errors, Full, TimedOut      int64 // how attempts ended, as choice.Status
-	NoConnect, Broken, NotSent, Turned  int64
+	NoConnect, NoProcess                int64
+	Broken, NotSent, Turned             int64
 	Probes, ProbesFailed                int64
 	Lists, ListsFailed, Batches, Events int64
 }
@@ -120,7 +121,8 @@
 // outcome is the counter of a status.
 func (c *Counters) outcome(s choice.Status) *int64 {
 	return [...]*int64{choice.OK: &c.Served, choice.NodeError: &c.Errors, choice.NodeFull: &c.Full,
-		choice.TimedOut: &c.TimedOut, choice.NoConnect: &c.NoConnect, choice.BrokenOff: &c.Broken,
+		choice.TimedOut: &c.TimedOut, choice.NoConnect: &c.NoConnect, choice.NoProcess: &c.NoProcess,
+		choice.BrokenOff: &c.Broken,
 		choice.Cancelled: &c.Cancelled, choice.NotSent: &c.NotSent, choice.TurnedAway: &c.Turned}[s]
 }
 
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -385,3 +385,16 @@
 	}
 	require.True(t, c.Ask(b.Statement("bulk", "a", second)).Complete)
 }
+
+// A machine that says that nothing listens there is told from one that is silent: only its database has restarted.
+func TestNoProcess(t *testing.T) {
+	b := testbed.Start(t)
+	for i := range b.Databases {
+		gone := b.Entry(i, "SERVING")
+		gone.Addr = testbed.Free(t)
+		b.List(gone)
+	}
+	c := b.Client()
+	b.Eventually(func() bool { return c.Ask(b.Statement("report", "a", second/2)).Code == pg.CodeFull }, "the list counts")
+	b.Counters(func(c testbed.Counters) bool { return c.Core.NoProcess > 0 && c.Core.NoConnect == 0 })
+}
--- a/internal/net/pool.go
+++ b/internal/net/pool.go
@@ -288,9 +288,13 @@
 			}
 		}
 		if err != nil {
+			why := choice.NoConnect
+			if errors.Is(err, syscall.ECONNREFUSED) { // a machine that is cut off does not say this
+				why = choice.NoProcess
+			}
 			p.driver.Do(func() {
 				if !l.dead {
-					p.refused(l)
+					p.refused(l, why)
 				}
 			})
 		}
@@ -298,14 +302,14 @@
 }
 
 // refused takes a connection out that did not come up. The job that has waited longest has lost its turn.
-func (p *Pool) refused(l *link) {
+func (p *Pool) refused(l *link, why choice.Status) {
 	p.Count.DialsFailed++
 	s := l.server
 	l.close()
 	if len(s.waiting) > 0 {
 		j := s.waiting[0]
 		s.unqueue(j)
-		p.finish(j, choice.NoConnect, nil)
+		p.finish(j, why, nil)
 	}
 }
 
@@ -445,7 +449,7 @@
 		p.log.Warn().Err(err).Str("database", l.server.member.Name).Int64("so_far", p.Count.BadReplies).Msg("bad reply")
 	}
 	if !l.ready {
-		p.refused(l)
+		p.refused(l, choice.NoConnect)
 		return
 	}
 	j := l.job
@@ -460,7 +464,7 @@
 	p := l.pool
 	switch {
 	case !l.ready && (r.Code != "" || r.Fatal):
-		p.refused(l)
+		p.refused(l, choice.NoConnect)
 	case !l.ready:
 		l.timer.Stop()
 		l.ready = true
@@ -487,7 +491,7 @@
 	j := l.job
 	l.job = nil
 	if !l.ready {
-		l.pool.refused(l)
+		l.pool.refused(l, choice.NoConnect)
 		return
 	}
 	l.close()
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -251,8 +251,8 @@
 type Counters struct {
 	Message string
 	Core    struct {
-		Fronts                                   map[string]Answers
-		Attempts, Written, Reloads, ReloadErrors int
+		Fronts                                                         map[string]Answers
+		Attempts, Written, Reloads, ReloadErrors, NoProcess, NoConnect int
 	}
 	Front struct{ Expired int }
 }
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -144,7 +144,7 @@
 		}
 		c.Classes = append(c.Classes, class)
 	}
-	u := units{origin: s.Extra.Origin.time(), x0: slices.Index(s.Feedback.Fields, "x0"),
+	u := units{origin: s.Extra.Origin.time(), connect: s.Allowed.Connect.time(), x0: slices.Index(s.Feedback.Fields, "x0"),
 		x1: slices.Index(s.Feedback.Fields, "x1"), tenants: len(s.Projects), classes: len(s.Lanes)}
 	return c, u, err
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -63,7 +63,8 @@
 // units are the parts of the settings that fields are translated by.
 type units struct {
 	origin  time.Duration
-	x0, x1  int // where a report holds position and role; -1: nowhere
+	connect time.Duration // a connection has come up by then, or never will
+	x0, x1  int           // where a report holds position and role; -1: nowhere
 	tenants int
 	classes int
 }
@@ -178,6 +179,7 @@
 		e.Outcome.Attempt, e.Outcome.Node = int(f.u16()), f.node()
 		f.status(&e.Outcome)
 		e.Outcome.Took = f.millis()
+		f.refused(&e.Outcome, u)
 		e.Outcome.Final = f.u8() != 0
 		note := f.u32()
 		e.Outcome.Note.Role = choice.Role(note & 3)
@@ -192,6 +194,7 @@
 		e.Kind, e.Outcome.Node = choice.ProbeDone, f.node()
 		f.status(&e.Outcome)
 		e.Outcome.Took = f.millis()
+		f.refused(&e.Outcome, u)
 		e.Outcome.Report = f.report(u)
 	case evGone:
 		e.Kind, e.Request = choice.ClientGone, choice.RequestID(f.u64())
@@ -276,6 +279,13 @@
 	o.Status = status
 }
 
+// refused tells a connection that is refused from one that never comes up: only the latter takes its time.
+func (f *fields) refused(o *choice.Outcome, u units) {
+	if o.Status == choice.NoConnect && o.Took < u.connect/2 {
+		o.Status = choice.NoProcess
+	}
+}
+
 var statuses = map[uint16]choice.Status{
 	200: choice.OK, 500: choice.NodeError, 503: choice.NodeFull, 504: choice.TimedOut, 502: choice.NoConnect,
 	598: choice.BrokenOff, 499: choice.Cancelled, 410: choice.NotSent, 404: choice.TurnedAway,
