Share memory, descriptors and the Flight address between two processes at an upgrade

Seen, reading: with Flight SQL on, the new process of an upgrade would end at once, as its address is taken; and two processes may together hold twice 70% of the descriptors for clients and 30% for databases, and 1.2 times the memory. Change: the Flight listener sets SO_REUSEPORT; with an inherited listener the limits leave room for a second process. TestUpgrade has the Flight front on and fails without (tried); TestUnreadableBans covers a damaged file of bans.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -145,6 +145,7 @@
 		if c.ListenFD, err = strconv.Atoi(fd); err != nil || c.ListenFD < 3 {
 			return c, fmt.Errorf("GW_LISTEN_FD: %q is no inherited descriptor", fd)
 		}
+		c.Machine.Shared = true
 	}
 	if c.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
 		return c, fmt.Errorf("seed: %w", err)
--- a/internal/flight/front.go
+++ b/internal/flight/front.go
@@ -2,16 +2,19 @@
 
 import (
 	"context"
+	"errors"
 	"hash/fnv"
 	"net"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/apache/arrow-go/v18/arrow/flight"
 	"github.com/apache/arrow-go/v18/arrow/flight/flightsql"
 	"github.com/rs/zerolog"
 	"golang.org/x/net/netutil"
+	"golang.org/x/sys/unix"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/metadata"
@@ -71,7 +74,14 @@
 
 // Serve listens until Stop.
 func (f *Front) Serve(listen string) error {
-	l, err := net.Listen("tcp", listen)
+	// At an upgrade the new process listens here beside the old one.
+	shared := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) (err error) {
+		failed := c.Control(func(fd uintptr) {
+			err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+		})
+		return errors.Join(failed, err)
+	}}
+	l, err := shared.Listen(context.Background(), "tcp", listen)
 	if err != nil {
 		return err
 	}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -73,6 +73,7 @@
 type Machine struct {
 	MemoryMB int
 	Sockets  int
+	Shared   bool // at an upgrade, with a second process of the program
 }
 
 // For returns the limits on a machine, for databases that take this long to connect and close connections that
@@ -82,9 +83,13 @@
 	stop := max(2*time.Second, min(longest, 3*time.Second)+500*time.Millisecond)
 	const leaving = 8
 	sockets := max(64, m.Sockets-48-leaving)
-	clients := sockets * 7 / 10
-	const flightMessage = 4 << 20
+	clients, servers := sockets*7/10, sockets*3/10
 	memory := int64(m.MemoryMB) << 20 * 6 / 10
+	if m.Shared { // Against two processes that together hold more than the machine grants.
+		clients, servers = sockets/2, sockets/5
+		memory = memory * 3 / 4
+	}
+	const flightMessage = 4 << 20
 	return Limits{
 		MemoryBytes:   memory,
 		Clients:       clients,
@@ -94,7 +99,7 @@
 		Leaving:       leaving,
 		Accepting:     4,
 		Operators:     24,
-		Servers:       sockets * 3 / 10,
+		Servers:       servers,
 		IdleEach:      24,
 		Requests:      20000,
 		Pipeline:      8,
--- a/internal/management/management_test.go
+++ b/internal/management/management_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net"
+	"os"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -99,6 +101,29 @@
 	b.Eventually(func() bool { reads(1); return len(banned.Got()) > before }, "it is used again")
 }
 
+// A file of bans that cannot be read is logged; the bans known go on, and the next call writes it anew.
+func TestUnreadableBans(t *testing.T) {
+	b := testbed.Start(t)
+	c, banned := b.Client(), b.Databases[1]
+	ban := func() {
+		code, _ := b.Call("PUT", "/api/exclude/db-1")
+		require.Equal(t, 200, code)
+	}
+	ban()
+	file := filepath.Join(b.Dir, "capercove-bans-n0.json")
+	require.NoError(t, os.WriteFile(file, []byte(`{"db-`), 0o600))
+	b.Eventually(func() bool { return b.Line("bans: cannot be read") != "" }, "it is logged")
+	before := len(banned.Got())
+	for range 20 {
+		require.True(t, c.Ask(b.Statement("report", "a", second)).Complete)
+	}
+	require.Len(t, banned.Got(), before)
+	ban()
+	text, err := os.ReadFile(file)
+	require.NoError(t, err)
+	require.Regexp(t, `^{"db-1":\d+}$`, string(text))
+}
+
 // What waits for a connection to a database when it is banned goes elsewhere.
 func TestBanOfQueued(t *testing.T) {
 	b := testbed.Start(t, func(b *testbed.Bed) { // it would wait for long
@@ -121,7 +146,7 @@
 // Old and new process share the clients' listener: none is turned away, a ban made at the new one binds the old, and
 // the old one finishes what it took.
 func TestUpgrade(t *testing.T) {
-	b := testbed.Start(t, testbed.WithListener)
+	b := testbed.Start(t, testbed.WithListener, testbed.WithFlight) // both fronts listen twice
 	busy, idle := b.Client(), b.Client()
 	end := b.Upgrade()
 	code, _ := b.Call("PUT", "/api/exclude/db-1")
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -52,6 +52,7 @@
 	Sockets    int    // descriptors that the program may hold
 	Settings   string // what Configure writes
 	Management string // address for operators' calls
+	Dir        string // the program's TMPDIR
 
 	name      string
 	config    string            // path of the program's configuration
@@ -115,6 +116,7 @@
 		o(b)
 	}
 	dir := t.TempDir()
+	b.Dir = dir
 	write := func(name, text string) string {
 		path := filepath.Join(dir, name)
 		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
