See every change of the bans' file; be ready at once where a primary is banned

Seen, reading: the file of bans was told from the last one by its number alone, which a file system gives out again: two changes by the other process within 0.1 s could go unseen. TestUnreadableBans now breaks without the fix (tried).

--- a/choice/operators.go
+++ b/choice/operators.go
@@ -68,10 +68,14 @@
 	return count
 }
 
-// Leads tells whether every group has a primary, as far as is known.
+// Leads tells whether every group has a primary, as far as is known. One that is banned will do: waiting brings no other.
 func (r *Router) Leads() bool {
 	for _, g := range r.groups {
-		if len(g.members) > 0 && r.primary(g) == nil {
+		led := len(g.members) == 0 || r.primary(g) != nil
+		for _, n := range g.members {
+			led = led || n.role == Primary && r.banned(n)
+		}
+		if !led {
 			return false
 		}
 	}
--- a/internal/bans/bans.go
+++ b/internal/bans/bans.go
@@ -62,8 +62,13 @@
 // look takes in the file if it is another than the last one. One that cannot be read is logged, and the set is kept.
 func (f *File) look() {
 	info, err := os.Stat(f.path)
-	if errors.Is(err, os.ErrNotExist) || err == nil && f.seen != nil && os.SameFile(info, f.seen) {
-		return // what a process has kept is not lost with the file
+	if errors.Is(err, os.ErrNotExist) { // what a process has kept is not lost with the file
+		return
+	}
+	// Against a new file that has the number of one replaced before.
+	if err == nil && f.seen != nil && os.SameFile(info, f.seen) && info.ModTime().Equal(f.seen.ModTime()) &&
+		info.Size() == f.seen.Size() {
+		return
 	}
 	var set Set
 	if err == nil {
--- a/internal/management/management_test.go
+++ b/internal/management/management_test.go
@@ -111,6 +111,7 @@
 	}
 	ban()
 	file := filepath.Join(b.Dir, "capercove-bans-n0.json")
+	time.Sleep(second / 2) // it has been looked at since
 	require.NoError(t, os.WriteFile(file, []byte(`{"db-`), 0o600))
 	b.Eventually(func() bool { return b.Line("bans: cannot be read") != "" }, "it is logged")
 	before := len(banned.Got())
