--- a/choice/choice.go
+++ b/choice/choice.go
@@ -68,7 +68,7 @@
 	mean                     float64       // of inFlight, over presumeOver
 	meanAt                   time.Duration // up to here
 	fails, completed         int           // failures since its last answer; completions in this loop period
-	down, mute, died         bool          // only probes are sent; and these do not bring it back; no process there
+	down, mute, died         bool          // only probes are sent; these do not help; no process there
 	downAt, retryAt, backoff time.Duration // for a mute one: when it is given one request, the next pause
 	unproven, probing        bool          // back from being down and yet to answer a request; a probe is out
 	heard, answered          time.Duration // last answer or probe; last answer to a request
@@ -441,8 +441,8 @@
 	n.probing = false
 }
 
-// revive brings a node back that answers again. One whose process was not there for long is taken for cold, unless it
-// kept up with the log: then it ran all the while. One that was merely silent, as behind a cut, has run on, too.
+// revive brings a node back that answers again. One whose process was not there for long is taken for cold,
+// unless it kept up with the log: then it ran all the while, as did one merely silent, such as behind a cut.
 func (r *Router) revive(n *node) {
 	died := n.died
 	if n.died = false; !n.down {
