--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -15,6 +15,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -417,14 +418,24 @@
 	return program
 }
 
-// Free returns an address on which nothing listens.
+// Free returns an address on which nothing listens, nor will by chance: each test process has a loopback address of its
+// own, and the ports are below those that the system gives out.
 func Free(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	pid := os.Getpid()
+	for {
+		addr := fmt.Sprintf("127.%d.%d.%d:%d", 1+pid>>16&0x7f, pid>>8&0xff, 1+pid&0x7f, ports.Add(1))
+		if l, err := net.Listen("tcp", addr); err == nil {
+			l.Close()
+			return addr
+		}
+		require.Less(t, ports.Load(), int32(30000), "free addresses")
+	}
 }
 
+var ports atomic.Int32
+
+func init() { ports.Store(20000) }
+
 // output collects what the program prints.
 type output struct {
 	mu sync.Mutex
