--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -423,7 +423,7 @@
 func Free(t *testing.T) string {
 	pid := os.Getpid()
 	for {
-		addr := fmt.Sprintf("127.%d.%d.%d:%d", 1+pid>>16&0x7f, pid>>8&0xff, 1+pid&0x7f, ports.Add(1))
+		addr := fmt.Sprintf("127.%d.%d.%d:%d", 1+pid/62500%120, pid/250%250, 1+pid%250, ports.Add(1))
 		if l, err := net.Listen("tcp", addr); err == nil {
 			l.Close()
 			return addr
