--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -40,6 +40,7 @@
 
 	Tick           time.Duration // of the timer wheel
 	Slots          int           // of the timer wheel
+	StoodStill     time.Duration // between two ticks: logged
 	Margin         time.Duration // taken off a client's deadline, for the way back
 	Overdue        time.Duration // a request unanswered this long after its deadline is failed by the core
 	ConnectTimeout time.Duration // a database's connection is up by then, or counts as not to be had
@@ -125,6 +126,7 @@
 
 		Tick:           5 * time.Millisecond,
 		Slots:          1024,
+		StoodStill:     150 * time.Millisecond,
 		Margin:         5 * time.Millisecond,
 		Overdue:        20 * time.Millisecond,
 		ConnectTimeout: connect,
--- a/internal/net/driver.go
+++ b/internal/net/driver.go
@@ -35,6 +35,8 @@
 	started   chan struct{}
 	stopped   chan struct{}
 	ticking   atomic.Bool
+	ticked    time.Duration // the last tick
+	used      time.Duration // CPU time by then
 	accepting sync.WaitGroup
 }
 
@@ -128,8 +130,22 @@
 	}()
 }
 
+// watch logs when the loop stood still. With little CPU used meanwhile, the process was not let run.
+func (d *Driver) watch() {
+	var use unix.Rusage
+	if unix.Getrusage(unix.RUSAGE_SELF, &use) != nil {
+		return
+	}
+	now, cpu := d.Core.Now(), time.Duration(use.Utime.Nano()+use.Stime.Nano())
+	if gap := now - d.ticked; d.ticked > 0 && gap > d.limits.StoodStill {
+		d.log.Warn().Int64("ms", gap.Milliseconds()).Int64("cpu_ms", (cpu - d.used).Milliseconds()).Msg("the event loop stood still")
+	}
+	d.ticked, d.used = now, cpu
+}
+
 func (d *Driver) tick() {
 	d.ticking.Store(false)
+	d.watch()
 	d.Core.Tick()
 }
 
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -398,3 +398,12 @@
 	b.Eventually(func() bool { return c.Ask(b.Statement("report", "a", second/2)).Code == pg.CodeFull }, "the list counts")
 	b.Counters(func(c testbed.Counters) bool { return c.Core.NoProcess > 0 && c.Core.NoConnect == 0 })
 }
+
+// A pause of the whole process is logged, with the little CPU time that it used.
+func TestStoodStill(t *testing.T) {
+	b := testbed.Start(t)
+	b.Signal(syscall.SIGSTOP)
+	time.Sleep(second / 2)
+	b.Signal(syscall.SIGCONT)
+	b.Eventually(func() bool { return b.Line("stood still") != "" }, "it is logged")
+}
