Read one operators' file with full checks, and take all fronts in through one intake

Need: each new subsystem would have brought a file and a variable of its own, and two fronts read the same facts of a request in two places. Change: deploy/capercove.toml holds a table a subsystem; internal/config reads it strictly and checks every table (go-toml/v2 gives lines and keys). Variables and files left behind end the start. internal/intake makes requests for PostgreSQL, Flight SQL and replayed files.

--- a/cmd/capercove/main.go
+++ b/cmd/capercove/main.go
@@ -21,6 +21,7 @@
 	"capercove/internal/core"
 	"capercove/internal/discovery"
 	"capercove/internal/flight"
+	"capercove/internal/intake"
 	"capercove/internal/limits"
 	"capercove/internal/management"
 	"capercove/internal/net"
@@ -36,6 +37,16 @@
 	}
 }
 
+// file is the operators' file.
+type file struct {
+	Flight flight.Config `toml:"flight"`
+	Store  store.Config  `toml:"store"`
+	Pcap   pcap.Config   `toml:"pcap"`
+}
+
+// defaults is what an empty file means: all off.
+func defaults() file { return file{Pcap: pcap.Defaults()} }
+
 // program is the wired parts.
 type program struct {
 	log    zerolog.Logger
@@ -61,16 +72,8 @@
 	if err != nil {
 		return err
 	}
-	flightConfig, err := flight.Load()
-	if err != nil {
-		return err
-	}
-	storeConfig, err := store.Load(cfg.Name)
-	if err != nil {
-		return err
-	}
-	pcapConfig, err := pcap.Load()
-	if err != nil {
+	own := defaults()
+	if err := config.Operator(&own); err != nil {
 		return err
 	}
 	l := limitsOf(cfg)
@@ -86,15 +89,15 @@
 	p.driver = net.New(l, log, listener)
 	p.core = core.New(settings(cfg), cfg.Seed, l, log, clock(), func() { p.driver.Do(p.core.Flush) }, p.driver.Accept)
 	p.pool = net.NewPool(p.driver, l, log, p.core)
-	intake := net.NewIntake(p.core, p.pool)
+	in := intake.New(p.core)
 	var tap net.Tap
-	if pcapConfig.Write != "" {
-		if p.tap, err = pcap.NewWriter(pcapConfig, l, log); err != nil {
+	if own.Pcap.Write != "" {
+		if p.tap, err = pcap.NewWriter(own.Pcap, l, log); err != nil {
 			return fmt.Errorf("pcap: write: %w", err)
 		}
 		tap = p.tap
 	}
-	p.front = net.NewFront(l, log, p.core, intake, tap)
+	p.front = net.NewFront(l, log, p.core, in, p.pool, tap)
 	p.driver.Core, p.driver.Front, p.driver.Pool = p.core, p.front, p.pool
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -104,14 +107,14 @@
 		},
 		func() { p.driver.Do(p.core.ListFailed) })
 	watchers := []core.Watcher{p.pool}
-	if flightConfig.Listen != "" {
-		backend := flight.NewBackend(flightConfig, l, log, p.core, p.driver.Do)
+	if own.Flight.Listen != "" {
+		backend := flight.NewBackend(own.Flight, l, log, p.core, p.driver.Do)
 		watchers = append(watchers, backend)
-		if p.flight, err = flight.NewFront(l, log, p.core, p.driver.Do, backend); err != nil {
+		if p.flight, err = flight.NewFront(l, log, p.core, in, p.driver.Do, backend); err != nil {
 			return err
 		}
 		go func() {
-			if err := p.flight.Serve(flightConfig.Listen); err != nil {
+			if err := p.flight.Serve(own.Flight.Listen); err != nil {
 				log.Fatal().Err(err).Msg("flight: listen")
 			}
 		}()
@@ -133,15 +136,15 @@
 			log.Fatal().Err(management.New(l, log, operator{p}).Serve(operators)).Msg("management")
 		}()
 	}
-	if storeConfig.Enabled {
-		if p.store, err = store.Open(storeConfig, cfg.Name, l, log); err != nil {
+	if own.Store.Enabled {
+		if p.store, err = store.Open(own.Store, cfg.Name, l, log); err != nil {
 			return err
 		}
 		p.store.Put("config/"+cfg.Name, cfg.Public())
 		go p.driver.Do(func() { p.keep(cfg.Name) })
 	}
-	if pcapConfig.Read != "" {
-		replay := &pcap.Replay{Config: pcapConfig, Limits: l, Log: log, Core: p.core, Intake: intake,
+	if own.Pcap.Read != "" {
+		replay := &pcap.Replay{Config: own.Pcap, Limits: l, Log: log, Core: p.core, Intake: in, Backend: p.pool,
 			Do: p.driver.Do, Stop: p.stops}
 		go replay.Run()
 	}
--- a/cmd/capercove/main_test.go
+++ b/cmd/capercove/main_test.go
@@ -17,31 +17,43 @@
 	good := `{"name":"n0","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"1f",` +
 		`"limits":{"memory_mb":192,"sockets":1024},"known":{"members":[]},"settings":` + testbed.Settings + `}`
 	for key, change := range map[string][2]string{
-		"GW_CONFIG":        {good, "{"},
-		"name":             {`"n0"`, `""`},
-		"listen":           {"127.0.0.1:1", "nowhere"},
-		"discovery":        {"127.0.0.1:2", "nowhere"},
-		"seed":             {`"1f"`, `"x"`},
-		"limits.memory_mb": {`"memory_mb":192`, `"memory_mb":1`},
-		"limits.sockets":   {`"sockets":1024`, `"sockets":1`},
-		"known":            {`"members":[]`, `"members":[{"id":"a","phase":"ODD"}]`},
-		"settings":         {`"membershipMode":"on_request"`, `"membershipMode":"odd"`},
-		"keepaliveMs":      {`"keepaliveMs":15000,`, ``},
-		"flight: servers":  {"", "listen = \"127.0.0.1:3\"\nserver_port = 1\n[servers]\na = \"odd\"\n"},
-		"odd":              {"", "odd = 1\n"},
+		"GW_CONFIG":                      {good, "{"},
+		"name":                           {`"n0"`, `""`},
+		"listen":                         {"127.0.0.1:1", "nowhere"},
+		"discovery":                      {"127.0.0.1:2", "nowhere"},
+		"seed":                           {`"1f"`, `"x"`},
+		"limits.memory_mb":               {`"memory_mb":192`, `"memory_mb":1`},
+		"limits.sockets":                 {`"sockets":1024`, `"sockets":1`},
+		"known":                          {`"members":[]`, `"members":[{"id":"a","phase":"ODD"}]`},
+		"settings":                       {`"membershipMode":"on_request"`, `"membershipMode":"odd"`},
+		"keepaliveMs":                    {`"keepaliveMs":15000,`, ``},
+		"own.toml:5: flight.servers.a: ": {"", "[flight]\nlisten = \"127.0.0.1:3\"\nserver_port = 1\n[flight.servers]\na = \"odd\"\n"},
+		"own.toml:1: unknown key odd":    {"", "odd = 1\n"},
+		"own.toml:2: unknown key pcap.s": {"", "[pcap]\ns = 1\n"},
+		"own.toml:3: pcap.speed: ":       {"", "[pcap]\nport = 1\nspeed = 0.0\n"},
+		"own.toml:2: pcap.port: ":        {"", "[pcap]\nport = \"x\"\n"},
+		"own.toml:5: store.peers[0]":     {"", "[store]\nenabled = true\ndir = \"x\"\n\n[[store.peers]]\nname = \"n0\"\n"},
+		"own.toml:2: ":                   {"", "[pcap]\nport =\n"},
+		"CAPERCOVE_CONFIG: ":             {"", "missing"},
+		"table [flight]":                 {"", "retired"},
 	} {
 		dir := t.TempDir()
-		config, flight := good, ""
+		config, own := good, ""
 		if change[0] == "" {
-			flight = change[1]
+			own = change[1]
 		} else {
 			config = strings.Replace(good, change[0], change[1], 1)
 		}
-		path, flightPath := filepath.Join(dir, "config.json"), filepath.Join(dir, "flight.toml")
+		path, ownPath := filepath.Join(dir, "config.json"), filepath.Join(dir, "own.toml")
 		require.NoError(t, os.WriteFile(path, []byte(config), 0o600))
-		require.NoError(t, os.WriteFile(flightPath, []byte(flight), 0o600))
+		if own != "missing" {
+			require.NoError(t, os.WriteFile(ownPath, []byte(own), 0o600))
+		}
 		program := exec.Command(testbed.Binary(t))
-		program.Env = append(os.Environ(), "GW_CONFIG="+path, "CAPERCOVE_FLIGHT="+flightPath)
+		program.Env = append(os.Environ(), "GW_CONFIG="+path, "CAPERCOVE_CONFIG="+ownPath)
+		if own == "retired" {
+			program.Env = append(program.Env, "CAPERCOVE_FLIGHT=deploy/flight.toml")
+		}
 		out, err := program.CombinedOutput()
 		require.Error(t, err, key)
 		require.Equal(t, 1, program.ProcessState.ExitCode(), key)
--- a/internal/flight/config.go
+++ b/internal/flight/config.go
@@ -7,37 +7,33 @@
 package flight
 
 import (
-	"fmt"
 	"net"
 	"strconv"
 
 	"capercove/internal/config"
 )
 
-// Config is deploy/flight.toml.
+// Config is the table [flight] of the operators' file.
 type Config struct {
 	Listen     string            `toml:"listen"` // empty: the front is off
 	ServerPort int               `toml:"server_port"`
 	Servers    map[string]string `toml:"servers"`
 }
 
-// Load reads the configuration.
-func Load() (c Config, err error) {
-	if err := config.File("CAPERCOVE_FLIGHT", "deploy/flight.toml", &c); err != nil {
-		return c, err
-	}
+// Check tells what is wrong with the table.
+func (c Config) Check() error {
 	if c.Listen == "" {
-		return c, nil
+		return nil
 	}
 	if c.ServerPort < 1 || c.ServerPort > 65535 {
-		return c, fmt.Errorf("flight: server_port is %d", c.ServerPort)
+		return config.Bad("server_port", "%d is no port", c.ServerPort)
 	}
 	for id, addr := range c.Servers {
-		if err := config.Address("flight: servers."+id, addr); err != nil {
-			return c, err
+		if err := config.Address("servers."+id, addr); err != nil {
+			return err
 		}
 	}
-	return c, config.Address("flight: listen", c.Listen)
+	return config.Address("listen", c.Listen)
 }
 
 // addr is where a database of the list speaks Flight SQL.
--- a/internal/flight/front.go
+++ b/internal/flight/front.go
@@ -20,8 +20,8 @@
 	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
 
-	"capercove/choice"
 	"capercove/internal/core"
+	"capercove/internal/intake"
 	"capercove/internal/limits"
 )
 
@@ -34,6 +34,7 @@
 	limits  limits.Limits
 	log     zerolog.Logger
 	core    *core.Core
+	intake  *intake.Intake
 	do      func(func()) // runs on the core's goroutine
 	backend core.Backend
 	server  *grpc.Server
@@ -52,7 +53,7 @@
 		"Bad": f.Count.Bad.Load(), "Messages": f.Count.Messages.Load()}
 }
 
-func NewFront(l limits.Limits, log zerolog.Logger, c *core.Core, do func(func()), b core.Backend) (*Front, error) {
+func NewFront(l limits.Limits, log zerolog.Logger, c *core.Core, in *intake.Intake, do func(func()), b core.Backend) (*Front, error) {
 	base := &flightsql.BaseServer{}
 	for id, value := range map[flightsql.SqlInfo]any{
 		flightsql.SqlInfoFlightSqlServerName:        "capercove",
@@ -64,7 +65,7 @@
 			return nil, err
 		}
 	}
-	f := &Front{FlightServer: flightsql.NewFlightServer(base), limits: l, log: log, core: c, do: do, backend: b,
+	f := &Front{FlightServer: flightsql.NewFlightServer(base), limits: l, log: log, core: c, intake: in, do: do, backend: b,
 		slots: make(chan struct{}, l.FlightCalls)}
 	f.server = grpc.NewServer(grpc.MaxRecvMsgSize(l.FlightMessage), grpc.MaxConcurrentStreams(uint32(l.FlightCalls)),
 		grpc.ConnectionTimeout(l.Startup))
@@ -220,47 +221,40 @@
 	}
 }
 
+// keys are this wire's words for the parts of a request.
+var keys = map[intake.Field]string{intake.FieldID: KeyID, intake.FieldClass: KeyClass, intake.FieldGroup: KeyGroup}
+
 // request checks what a client asks.
 func (f *Front) request(ctx context.Context, s *statement) (*core.Request, error) {
 	bad := func(key, why string) (*core.Request, error) {
 		return nil, status.Error(codes.InvalidArgument, key+": "+why)
 	}
-	number, class, known := f.core.Class(s.Class)
-	if !known {
-		return bad(KeyClass, "unknown class")
-	}
-	q := &core.Request{Front: "flight", Name: s.ID, Class: number, Payload: s, Backend: f.backend}
+	a := intake.Ask{Front: "flight", ID: s.ID, Class: s.Class, HasGroup: true, Payload: s, Backend: f.backend}
 	var err error
-	if q.Group, err = strconv.Atoi(s.Group); err != nil {
+	if a.Group, err = strconv.Atoi(s.Group); err != nil {
 		return bad(KeyGroup, "not a number")
 	}
-	if s.ID == "" {
-		return bad(KeyID, "missing")
-	}
-	if !f.core.HasGroup(q.Group) {
-		return bad(KeyGroup, "unknown group")
-	}
-	if f.core.IsOpen(q.Name) {
-		return bad(KeyID, "a request of this id is open")
-	}
-	if q.LastWrite, err = position([]string{s.After}); err != nil {
+	if a.After, err = position([]string{s.After}); err != nil {
 		return bad(KeyAfter, err.Error())
 	}
-	q.Expires = class.Deadline
 	if s.wait != "" {
 		ms, err := strconv.ParseUint(s.wait, 10, 31)
 		if err != nil || ms == 0 {
 			return bad(KeyDeadline, "not a positive number of milliseconds")
 		}
-		q.Expires = time.Duration(ms) * time.Millisecond
-	}
-	if at, ok := ctx.Deadline(); ok {
-		q.Expires = min(q.Expires, time.Until(at))
+		a.Wait = time.Duration(ms) * time.Millisecond
 	}
-	if s.Session != "" && (class.Read == choice.Write || class.Read == choice.SessionRead) {
+	if s.Session != "" {
 		h := fnv.New64a()
 		h.Write([]byte(s.Session))
-		q.Session = max(h.Sum64(), 1)
+		a.Key = max(h.Sum64(), 1)
+	}
+	q, problem := f.intake.Request(&a)
+	if problem != nil {
+		return bad(keys[problem.Field], problem.Why)
+	}
+	if at, ok := ctx.Deadline(); ok {
+		q.Expires = min(q.Expires, time.Until(at))
 	}
 	return q, nil
 }
--- a/internal/net/front.go
+++ b/internal/net/front.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sys/unix"
 
 	"capercove/internal/core"
+	"capercove/internal/intake"
 	"capercove/internal/limits"
 	"capercove/internal/pg"
 	"capercove/internal/wheel"
@@ -20,8 +21,9 @@
 	limits   limits.Limits
 	log      zerolog.Logger
 	core     *core.Core
-	intake   *Intake
-	tap      Tap // nil: none
+	intake   *intake.Intake
+	backend  core.Backend // of the statements
+	tap      Tap          // nil: none
 	opened   uint64
 	clients  map[*client]struct{}
 	mute     int // of them that have yet to start
@@ -44,8 +46,8 @@
 }
 
 // NewFront returns a front. The tap may be nil.
-func NewFront(l limits.Limits, log zerolog.Logger, c *core.Core, in *Intake, tap Tap) *Front {
-	f := &Front{limits: l, log: log, core: c, intake: in, tap: tap, clients: map[*client]struct{}{},
+func NewFront(l limits.Limits, log zerolog.Logger, c *core.Core, in *intake.Intake, b core.Backend, tap Tap) *Front {
+	f := &Front{limits: l, log: log, core: c, intake: in, backend: b, tap: tap, clients: map[*client]struct{}{},
 		logged: map[string]time.Duration{}}
 	f.sweep()
 	return f
@@ -244,7 +246,7 @@
 		s.answer = pg.AppendReady(pg.AppendComplete(nil, c.Query))
 		return
 	}
-	q, code, why := f.intake.Request("postgres", c.Query)
+	q, code, why := f.intake.Statement("postgres", c.Query, f.backend)
 	if q == nil {
 		k.bad = true
 		s.answer = pg.AppendFailure(nil, code, why)
--- a/internal/pcap/config.go
+++ b/internal/pcap/config.go
@@ -3,12 +3,10 @@
 package pcap
 
 import (
-	"fmt"
-
 	"capercove/internal/config"
 )
 
-// Config is deploy/pcap.toml.
+// Config is the table [pcap] of the operators' file.
 type Config struct {
 	Read  string  `toml:"read"`
 	Write string  `toml:"write"`
@@ -16,19 +14,18 @@
 	Speed float64 `toml:"speed"`
 }
 
-// Load reads the configuration.
-func Load() (Config, error) {
-	c := Config{Port: 6543, Speed: 1}
-	if err := config.File("CAPERCOVE_PCAP", "deploy/pcap.toml", &c); err != nil {
-		return c, err
-	}
+// Defaults are the values of keys that the file lacks.
+func Defaults() Config { return Config{Port: 6543, Speed: 1} }
+
+// Check tells what is wrong with the table.
+func (c Config) Check() error {
 	switch {
 	case c.Port < 1 || c.Port > 65535:
-		return c, fmt.Errorf("pcap: port is %d", c.Port)
+		return config.Bad("port", "%d is no port", c.Port)
 	case !(c.Speed > 0):
-		return c, fmt.Errorf("pcap: speed is %v", c.Speed)
+		return config.Bad("speed", "%v is not above 0", c.Speed)
 	case c.Read != "" && c.Read == c.Write:
-		return c, fmt.Errorf("pcap: read and write name the same file")
+		return config.Bad("write", "names the file that is read")
 	}
-	return c, nil
+	return nil
 }
--- a/internal/pcap/pcap_test.go
+++ b/internal/pcap/pcap_test.go
@@ -15,7 +15,7 @@
 )
 
 func config(read, write string) testbed.Option {
-	return testbed.WithFile("CAPERCOVE_PCAP", fmt.Sprintf("read = %q\nwrite = %q\n", read, write))
+	return testbed.WithTables(fmt.Sprintf("[pcap]\nread = %q\nwrite = %q\n", read, write))
 }
 
 // replay runs a file and returns the program's counts of it, and what it said.
--- a/internal/pcap/replay.go
+++ b/internal/pcap/replay.go
@@ -7,19 +7,20 @@
 	"github.com/rs/zerolog"
 
 	"capercove/internal/core"
+	"capercove/internal/intake"
 	"capercove/internal/limits"
-	"capercove/internal/net"
 )
 
 // Replay runs the queries of a file through the core at the file's pace.
 type Replay struct {
-	Config Config
-	Limits limits.Limits
-	Log    zerolog.Logger
-	Core   *core.Core
-	Intake *net.Intake
-	Do     func(func()) // runs on the core's goroutine
-	Stop   <-chan struct{}
+	Config  Config
+	Limits  limits.Limits
+	Log     zerolog.Logger
+	Core    *core.Core
+	Intake  *intake.Intake
+	Backend core.Backend
+	Do      func(func()) // runs on the core's goroutine
+	Stop    <-chan struct{}
 
 	slots chan struct{}
 	bad   atomic.Int64
@@ -55,7 +56,7 @@
 }
 
 func (r *Replay) submit(sql string) {
-	q, _, _ := r.Intake.Request("pcap", sql)
+	q, _, _ := r.Intake.Statement("pcap", sql, r.Backend)
 	if q == nil {
 		r.bad.Add(1)
 		r.end()
--- a/internal/store/config.go
+++ b/internal/store/config.go
@@ -7,7 +7,7 @@
 	"capercove/internal/config"
 )
 
-// Config is deploy/store.toml.
+// Config is the table [store] of the operators' file.
 type Config struct {
 	Enabled bool   `toml:"enabled"`
 	Listen  string `toml:"listen"`
@@ -23,34 +23,39 @@
 	API    string `toml:"api"`
 }
 
-// Load reads the configuration of the pooler of this name.
-func Load(name string) (c Config, err error) {
-	if err := config.File("CAPERCOVE_STORE", "deploy/store.toml", &c); err != nil || !c.Enabled {
-		return c, err
+// Check tells what is wrong with the table. Whether the peers list this pooler shows only in Open.
+func (c Config) Check() error {
+	if !c.Enabled {
+		return nil
 	}
-	if err := errors.Join(config.Address("store: listen", c.Listen), config.Address("store: api", c.API)); err != nil {
-		return c, err
-	}
-	if len(c.Peers) == 0 {
-		return c, nil
+	if err := errors.Join(config.Address("listen", c.Listen), config.Address("api", c.API)); err != nil {
+		return err
 	}
 	// Against a peer that forgets what it has voted for: with peers, memory alone would break the log's promise.
-	if c.Dir == "" {
-		return c, errors.New("store: dir is empty, and there are peers")
+	if len(c.Peers) > 0 && c.Dir == "" {
+		return config.Bad("dir", "is empty, and there are peers")
 	}
-	self := false
 	for i, p := range c.Peers {
+		key := fmt.Sprintf("peers[%d]", i)
 		if p.Name == "" || p.Listen == "" || p.API == "" {
-			return c, fmt.Errorf("store: peers[%d] lacks name, listen or api", i)
+			return config.Bad(key, "lacks name, listen or api")
 		}
-		if err := errors.Join(config.Address("store: peers.listen", p.Listen),
-			config.Address("store: peers.api", p.API)); err != nil {
-			return c, err
+		if err := errors.Join(config.Address(key+".listen", p.Listen), config.Address(key+".api", p.API)); err != nil {
+			return err
 		}
-		self = self || p.Name == name && p.Listen == c.Listen && p.API == c.API
 	}
-	if !self {
-		return c, fmt.Errorf("store: peers do not list %s with its own listen and api", name)
+	return nil
+}
+
+// lists tells whether the peers, if any, hold the pooler of this name as it is set up here.
+func (c Config) lists(name string) error {
+	for _, p := range c.Peers {
+		if p.Name == name && p.Listen == c.Listen && p.API == c.API {
+			return nil
+		}
+	}
+	if len(c.Peers) == 0 {
+		return nil
 	}
-	return c, nil
+	return config.Bad("store.peers", "%s is not listed with its own listen and api", name)
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -52,6 +52,9 @@
 
 // Open starts the store of the pooler of this name: alone and in memory, or with peers and on disk.
 func Open(cfg Config, name string, l limits.Limits, log zerolog.Logger) (Store, error) {
+	if err := cfg.lists(name); err != nil {
+		return nil, err
+	}
 	r := &replicated{limits: l, log: log, apis: map[raft.ServerID]string{}, waiting: map[string][]byte{},
 		wake: make(chan struct{}, 1), done: make(chan struct{}),
 		state: state{values: map[string]json.RawMessage{}, most: l.StoreKeys}}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -41,7 +41,7 @@
 // With no peers and no disk it works alone, and no request needs it.
 func TestAlone(t *testing.T) {
 	api := testbed.Free(t)
-	b := testbed.Start(t, testbed.WithFile("CAPERCOVE_STORE", fmt.Sprintf("enabled = true\napi = %q\n", api)))
+	b := testbed.Start(t, testbed.WithTables(fmt.Sprintf("[store]\nenabled = true\napi = %q\n", api)))
 	require.True(t, b.Client().Ask(b.Statement("write", "a", time.Second)).Complete)
 	b.Eventually(func() bool { return strings.Contains(string(read(api)["state/n0"]), `"Served":1`) }, "the state")
 	require.Contains(t, string(read(api)["config/n0"]), `"classes":["read","report","write"]`)
@@ -59,11 +59,11 @@
 		listen, api := testbed.Free(t), testbed.Free(t)
 		apis = append(apis, api)
 		files = append(files, fmt.Sprintf("enabled = true\nlisten = %q\napi = %q\ndir = %q\n", listen, api, t.TempDir()))
-		peers += fmt.Sprintf("[[peers]]\nname = \"n%d\"\nlisten = %q\napi = %q\n", i, listen, api)
+		peers += fmt.Sprintf("[[store.peers]]\nname = \"n%d\"\nlisten = %q\napi = %q\n", i, listen, api)
 	}
 	start := func(i int) *testbed.Bed {
 		return testbed.Start(t, testbed.WithName(fmt.Sprintf("n%d", i)),
-			testbed.WithFile("CAPERCOVE_STORE", files[i]+peers))
+			testbed.WithTables("[store]\n"+files[i]+peers))
 	}
 	first := start(0) // alone of three: it has no majority, and serves
 	require.True(t, first.Client().Ask(first.Statement("write", "a", time.Second)).Complete)
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -52,12 +52,13 @@
 
 	Sockets    int    // descriptors that the program may hold
 	Settings   string // what Configure writes
+	Tables     string // the operators' file, as Configure writes it
 	Management string // address for operators' calls
 	Dir        string // the program's TMPDIR
 
 	name      string
-	config    string            // path of the program's configuration
-	files     map[string]string // text of the project's own files by variable
+	config    string // path of the program's configuration
+	own       string // path of the operators' file
 	env       []string
 	listener  *os.File // the clients' listening socket, where the program inherits it
 	process   *exec.Cmd
@@ -83,8 +84,8 @@
 // WithName names the pooler; it is n0 otherwise.
 func WithName(name string) Option { return func(b *Bed) { b.name = name } }
 
-// WithFile gives the program one of the files of deploy/, by the variable that names it.
-func WithFile(variable, text string) Option { return func(b *Bed) { b.files[variable] = text } }
+// WithTables adds tables to the operators' file.
+func WithTables(text string) Option { return func(b *Bed) { b.Tables += text + "\n" } }
 
 // WithListener lets the program inherit the clients' listening socket.
 func WithListener(b *Bed) {
@@ -102,7 +103,7 @@
 // Start runs the program with a primary, db-0, and one replica, db-1, of group 3.
 func Start(t *testing.T, options ...Option) *Bed {
 	b := &Bed{T: t, Addr: Free(t), changes: make(chan discovery.List, 16), revision: 1, Sockets: 1024, Settings: Settings,
-		Management: Free(t), name: "n0", files: map[string]string{}}
+		Management: Free(t), name: "n0"}
 	b.discovery = httptest.NewServer(http.HandlerFunc(b.serveList))
 	t.Cleanup(func() {
 		b.discovery.Listener.Close()
@@ -123,20 +124,19 @@
 		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
 		return path
 	}
-	flight := fmt.Sprintf("listen = %q\nserver_port = 1\n[servers]\n", b.Flight)
+	flight := fmt.Sprintf("[flight]\nlisten = %q\nserver_port = 1\n[flight.servers]\n", b.Flight)
 	for _, d := range b.Databases {
 		flight += fmt.Sprintf("%s = %q\n", d.ID, d.Flight)
 	}
-	b.files["CAPERCOVE_FLIGHT"] = flight
+	b.Tables = flight + b.Tables
+	b.own = write("capercove.toml", "")
 	b.config = write("config.json", "")
 	b.Configure("")
-	b.env = append(os.Environ(), "GW_CONFIG="+b.config, "GW_DISCOVERY="+b.discovery.Listener.Addr().String(), "TMPDIR="+dir)
+	b.env = append(os.Environ(), "GW_CONFIG="+b.config, "GW_DISCOVERY="+b.discovery.Listener.Addr().String(), "TMPDIR="+dir,
+		"CAPERCOVE_CONFIG="+b.own)
 	if b.listener != nil {
 		b.env = append(b.env, "GW_LISTEN_FD=3")
 	}
-	for variable, text := range b.files {
-		b.env = append(b.env, variable+"="+write(variable, text))
-	}
 	b.log = &output{}
 	t.Cleanup(func() {
 		if t.Failed() {
@@ -160,6 +160,7 @@
 		"management": b.Management, "settings": json.RawMessage(b.Settings)})
 	require.NoError(b.T, err)
 	require.NoError(b.T, os.WriteFile(b.config, config, 0o600))
+	require.NoError(b.T, os.WriteFile(b.own, []byte(b.Tables), 0o600))
 }
 
 // MoveDiscovery ends discovery and starts it at a new address, where it is at this revision.
