Queue requests fairly by tenant and client at a door before the router

Need: whoever asks most got most, and every refused client was told its class's aim as the time to come back, true or not. Change: internal/door, a pure module: start-time fair queuing in two levels by cost, lanes for primary and replicas of each group, a limit on what is inside that follows the latency, room kept for short requests beside long ones, heavy clients found by Space-Saving and the rest hashed, promises of times to come back in a fixed table. internal/tenant matches the operators' rules; core runs the door before the router; [door] in the operators' file turns it on and SIGHUP changes it whole.

--- a/cmd/capercove/main.go
+++ b/cmd/capercove/main.go
@@ -7,6 +7,7 @@
 	gonet "net"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"slices"
@@ -18,8 +19,10 @@
 	"capercove/choice"
 	"capercove/internal/bans"
 	"capercove/internal/config"
+	"capercove/internal/config/tables"
 	"capercove/internal/core"
 	"capercove/internal/discovery"
+	"capercove/internal/door"
 	"capercove/internal/flight"
 	"capercove/internal/intake"
 	"capercove/internal/limits"
@@ -27,6 +30,7 @@
 	"capercove/internal/net"
 	"capercove/internal/pcap"
 	"capercove/internal/store"
+	"capercove/internal/tenant"
 )
 
 func main() {
@@ -42,10 +46,11 @@
 	Flight flight.Config `toml:"flight"`
 	Store  store.Config  `toml:"store"`
 	Pcap   pcap.Config   `toml:"pcap"`
+	Door   door.Config   `toml:"door"`
 }
 
 // defaults is what an empty file means: all off.
-func defaults() file { return file{Pcap: pcap.Defaults()} }
+func defaults() file { return file{Pcap: pcap.Defaults(), Door: door.Defaults()} }
 
 // program is the wired parts.
 type program struct {
@@ -55,6 +60,8 @@
 	limits limits.Limits
 	watch  *discovery.Watch
 	bans   *bans.File
+	own    file // as config
+	intake *intake.Intake
 	driver *net.Driver
 	core   *core.Core
 	pool   *net.Pool
@@ -73,7 +80,7 @@
 		return err
 	}
 	own := defaults()
-	if err := config.Operator(&own); err != nil {
+	if err := tables.Load(&own); err != nil {
 		return err
 	}
 	l := limitsOf(cfg)
@@ -90,6 +97,15 @@
 	p.core = core.New(settings(cfg), cfg.Seed, l, log, clock(), func() { p.driver.Do(p.core.Flush) }, p.driver.Accept)
 	p.pool = net.NewPool(p.driver, l, log, p.core)
 	in := intake.New(p.core)
+	p.own, p.intake = own, in
+	if own.Door.Enabled {
+		rules, err := own.Door.TenantRules()
+		if err != nil {
+			return err
+		}
+		in.Sort(rules, intake.ClientKind(own.Door.Client))
+		p.core.Fair(own.Door, cfg.Seed)
+	}
 	var tap net.Tap
 	if own.Pcap.Write != "" {
 		if p.tap, err = pcap.NewWriter(own.Pcap, l, log); err != nil {
@@ -236,6 +252,14 @@
 // nothing. Discovery's address and the settings are followed; what else has changed counts from the next start on.
 func (p *program) reload() {
 	c, err := p.config.Reload()
+	own := defaults()
+	if err == nil {
+		err = tables.Load(&own)
+	}
+	var rules *tenant.Rules
+	if err == nil {
+		rules, err = own.Door.TenantRules()
+	}
 	if err != nil {
 		p.driver.Do(p.core.TurnedDown)
 		p.log.Error().Err(err).Msg("reload: the configuration is kept")
@@ -243,16 +267,25 @@
 	}
 	for key, changed := range map[string]bool{"name": c.Name != p.config.Name, "listen": c.Listen != p.config.Listen,
 		"limits": c.Machine != p.config.Machine, "management": c.Management != p.config.Management,
-		"settings.zones": !slices.Equal(c.Facts.Zones, p.config.Facts.Zones)} {
+		"settings.zones": !slices.Equal(c.Facts.Zones, p.config.Facts.Zones),
+		"flight":         !reflect.DeepEqual(own.Flight, p.own.Flight), "store": !reflect.DeepEqual(own.Store, p.own.Store),
+		"pcap": own.Pcap != p.own.Pcap, "door.enabled": own.Door.Enabled != p.own.Door.Enabled} {
 		if changed {
 			p.log.Warn().Str("key", key).Msg("reload: changed, but counts only from the next start on")
 		}
 	}
 	p.log.Info().Str("discovery", c.Discovery).Msg("reloaded")
 	p.config = c
+	fair := p.own.Door.Enabled
+	p.own.Door = own.Door
+	p.own.Door.Enabled = fair
 	l := limitsOf(c)
 	p.driver.Do(func() {
 		p.core.Retune(settings(c))
+		if fair {
+			p.intake.Sort(rules, intake.ClientKind(own.Door.Client))
+			p.core.Refair(own.Door)
+		}
 		p.limits.Linger, p.limits.Stop = l.Linger, l.Stop
 		p.pool.Retune(l)
 	})
@@ -305,5 +338,8 @@
 	if p.store != nil {
 		line = line.Interface("store", p.store.All())
 	}
+	if d := p.core.Door(); d != nil {
+		line = line.Interface("door", d)
+	}
 	line.Msg(what)
 }
--- a/internal/config/file.go
+++ b/internal/config/tables/tables.go
@@ -1,4 +1,5 @@
-package config
+// Package tables reads the operators' file: one TOML table for each subsystem, each checked by the package that it is for.
+package tables
 
 import (
 	"bytes"
@@ -16,8 +17,8 @@
 
 // The operators' file holds one table for each subsystem. It is read at the start and at SIGHUP.
 const (
-	OperatorVariable = "CAPERCOVE_CONFIG"      // names another file
-	OperatorPath     = "deploy/capercove.toml" // where it is otherwise
+	Variable = "CAPERCOVE_CONFIG"      // names another file
+	Path     = "deploy/capercove.toml" // where it is otherwise
 )
 
 // retired are the files, and the variables that named them, whose tables the operators' file holds now.
@@ -42,28 +43,28 @@
 	return KeyError{Key: key, Why: fmt.Sprintf(format, a...)}
 }
 
-// Operator reads the operators' file into a struct whose fields are Tables, each under the name in its toml tag. What
+// Load reads the operators' file into a struct whose fields are Tables, each under the name in its toml tag. What
 // the file lacks stays as it is. The file that CAPERCOVE_CONFIG names must be there; else it may be missing. An error
 // names the file, and the line and the key at fault.
-func Operator(into any) error {
+func Load(into any) error {
 	for variable, table := range retired { // Against settings that are left behind unseen.
 		if os.Getenv(variable) != "" {
-			return fmt.Errorf("%s is set, but no longer read: its settings belong in table [%s] of %s", variable, table, OperatorPath)
+			return fmt.Errorf("%s is set, but no longer read: its settings belong in table [%s] of %s", variable, table, Path)
 		}
-		if old := filepath.Join(filepath.Dir(OperatorPath), table+".toml"); exists(old) {
-			return fmt.Errorf("%s is no longer read: its settings belong in table [%s] of %s", old, table, OperatorPath)
+		if old := filepath.Join(filepath.Dir(Path), table+".toml"); exists(old) {
+			return fmt.Errorf("%s is no longer read: its settings belong in table [%s] of %s", old, table, Path)
 		}
 	}
-	path := os.Getenv(OperatorVariable)
+	path := os.Getenv(Variable)
 	named := path != ""
 	if !named {
-		path = OperatorPath
+		path = Path
 	}
 	text, err := os.ReadFile(path)
 	if errors.Is(err, fs.ErrNotExist) && !named {
 		text = nil
 	} else if err != nil {
-		return fmt.Errorf("%s: %w", OperatorVariable, err)
+		return fmt.Errorf("%s: %w", Variable, err)
 	}
 	return parse(path, text, into)
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -71,12 +71,17 @@
 	Payload      any           // for the backend
 	Backend      Backend
 	Client       Client
+	Tenant       int // whose it is, and which client's of theirs, for the door
+	Caller       uint64
 
 	id       choice.RequestID
 	deadline time.Duration
 	attempts []*Attempt
 	out      int
-	began    *Attempt // the attempt whose answer is already on its way to the client
+	door     doorState
+	ran      bool          // an attempt may have run
+	took     time.Duration // the last attempt that was answered, or not in time
+	began    *Attempt      // the attempt whose answer is already on its way to the client
 	done     bool
 	guard    *wheel.Timer
 	count    *Answers
@@ -151,6 +156,7 @@
 	requests map[choice.RequestID]*Request
 	names    map[string]struct{} // of the open requests
 	last     choice.RequestID
+	door     *fair // nil: all come in at once
 	events   []choice.Event
 	actions  []choice.Action
 }
@@ -224,6 +230,11 @@
 
 func (c *Core) push(e choice.Event) {
 	c.events = append(c.events, e)
+	c.rouse()
+}
+
+// rouse asks for a Flush.
+func (c *Core) rouse() {
 	if !c.awake {
 		c.awake = true
 		c.wake()
@@ -259,8 +270,18 @@
 			c.push(choice.Event{Kind: choice.ClientGone, Request: q.id})
 		}
 	})
-	c.push(choice.Event{Kind: choice.RequestArrived, Request: q.id, Arrival: choice.Arrival{Class: q.Class,
-		Group: q.Group, Session: q.Session, Expires: expires, LastWrite: q.LastWrite}})
+	if c.door != nil {
+		c.offer(q, expires)
+		return
+	}
+	c.arrive(q, expires)
+	c.rouse()
+}
+
+// arrive hands a request to the router.
+func (c *Core) arrive(q *Request, expires time.Duration) {
+	c.events = append(c.events, choice.Event{Kind: choice.RequestArrived, Request: q.id, Arrival: choice.Arrival{
+		Class: q.Class, Group: q.Group, Session: q.Session, Expires: expires, LastWrite: q.LastWrite}})
 }
 
 // Leave tells that the client has gone. Nothing is owed any more; attempts still out are ended.
@@ -277,7 +298,13 @@
 func (c *Core) Abandon() {
 	for _, q := range c.requests {
 		if !q.done {
+			held := q.door == doorQueued
 			c.finish(q)
+			if held { // it never ran, and another pooler may take it
+				q.count.Refused++
+				q.Client.Refused(0)
+				continue
+			}
 			q.count.Failed++
 			q.Client.Failed(Broke)
 			c.push(choice.Event{Kind: choice.ClientGone, Request: q.id})
@@ -288,6 +315,7 @@
 func (c *Core) finish(q *Request) {
 	q.done = true
 	q.guard.Stop()
+	c.outside(q)
 	delete(c.names, q.Name)
 	c.forget(q)
 }
@@ -331,6 +359,8 @@
 		a.first = now
 		q.guard.Stop()
 		c.push(choice.Event{Kind: choice.AnswerBegan, Request: q.id})
+		q.ran, q.took = true, now-a.sent
+		c.outside(q) // what is left is the client's time, not the databases'
 	}
 	silent := func() { // Against a database that stops halfway.
 		a.timer.Stop()
@@ -362,6 +392,11 @@
 	a.timer.Stop()
 	q.out--
 	*c.Count.outcome(status)++
+	took := c.clock() - a.sent
+	if a.first > 0 { // what the client took to read is not the database's time
+		took = a.first - a.sent
+	}
+	c.learn(q, status, took)
 	if !q.done {
 		switch {
 		case status == choice.OK:
@@ -374,10 +409,6 @@
 			q.Client.Failed(failure(status == choice.TimedOut))
 		}
 	}
-	took := c.clock() - a.sent
-	if a.first > 0 { // what the client took to read is not the database's time
-		took = a.first - a.sent
-	}
 	c.push(choice.Event{Kind: choice.AttemptDone, Request: q.id, Outcome: choice.Outcome{Node: a.Member.ID,
 		Attempt: a.number, Status: status, Took: took, Final: q.done, Note: note}})
 	c.forget(q)
@@ -479,6 +510,9 @@
 // Flush hands the router what has come in and carries out what it decides.
 func (c *Core) Flush() {
 	c.awake = false
+	if c.door != nil {
+		c.enter()
+	}
 	if len(c.events) == 0 {
 		return
 	}
@@ -518,6 +552,7 @@
 		if q.done {
 			return
 		}
+		a.After = c.advise(q, a.After)
 		c.finish(q)
 		if a.Kind == choice.Refuse && q.began == nil {
 			q.count.Refused++
--- /dev/null
+++ b/internal/core/door.go
@@ -0,0 +1,162 @@
+package core
+
+import (
+	"math"
+	"time"
+
+	"capercove/choice"
+	"capercove/internal/door"
+)
+
+// fair is the door, where requests wait for their turn before the router sees them, and what is on its way to it.
+type fair struct {
+	door    *door.Door
+	config  door.Config
+	events  []door.Event
+	spare   []door.Event
+	actions []door.Action
+}
+
+// doorState tells where a request is, as the door sees it.
+type doorState uint8
+
+const (
+	doorNone doorState = iota // there is no door, or it is past it for good
+	doorQueued
+	doorInside
+)
+
+// Fair puts a door before the router. It comes before the first request.
+func (c *Core) Fair(cfg door.Config, seed uint64) {
+	c.door = &fair{config: cfg, door: door.New(c.doorSettings(cfg), seed)}
+}
+
+// Refair takes in other tenants, weights and limits, all at once. What is queued stays.
+func (c *Core) Refair(cfg door.Config) {
+	if c.door == nil {
+		return
+	}
+	c.door.config = cfg
+	s := c.doorSettings(cfg)
+	c.tell(door.Event{Kind: door.Retuned, Settings: &s})
+}
+
+func (c *Core) doorSettings(cfg door.Config) door.Settings {
+	classes := make([]door.Class, len(c.settings.Classes))
+	for i, class := range c.settings.Classes {
+		classes[i] = door.Class{Name: c.settings.Names[i], Aim: class.Aim,
+			Primary: class.Read == choice.Write || class.Read == choice.FreshRead}
+	}
+	most := c.settings.MaxRetryAfter
+	if most <= 0 {
+		most = math.MaxInt32 * time.Millisecond
+	}
+	return cfg.Settings(classes, door.Settings{MaxRetryAfter: most, Bounds: door.Bounds{Queue: c.limits.DoorQueue,
+		Lanes: c.limits.DoorLanes, Promises: c.limits.DoorPromises, LimitMin: float64(c.limits.DoorLeast),
+		LimitMax: float64(c.limits.DoorMost)}})
+}
+
+// tell notes an event for the door.
+func (c *Core) tell(e door.Event) {
+	c.door.events = append(c.door.events, e)
+	c.rouse()
+}
+
+// offer brings a request to the door.
+func (c *Core) offer(q *Request, expires time.Duration) {
+	q.door = doorQueued
+	c.tell(door.Event{Kind: door.Offered, Request: uint64(q.id), Offer: door.Offer{Tenant: q.Tenant, Class: q.Class,
+		Group: q.Group, Client: q.Caller, Expires: expires}})
+}
+
+// outside tells the door that a request is over, or that it holds no database up any more.
+func (c *Core) outside(q *Request) {
+	switch q.door {
+	case doorQueued:
+		c.tell(door.Event{Kind: door.Left, Request: uint64(q.id)})
+	case doorInside:
+		c.tell(door.Event{Kind: door.Ended, Request: uint64(q.id), Outcome: door.Outcome{Ran: q.ran, Took: q.took}})
+	}
+	q.door = doorNone
+}
+
+// learn notes for the door how an attempt ended.
+func (c *Core) learn(q *Request, status choice.Status, took time.Duration) {
+	if q.door != doorInside {
+		return
+	}
+	if status == choice.OK || status == choice.TimedOut {
+		q.took = took
+	}
+	if status == choice.NodeFull {
+		c.tell(door.Event{Kind: door.Full, Request: uint64(q.id)})
+	}
+	q.ran = q.ran || !status.NeverRan()
+}
+
+// advise is the time to come back for a request that the router refuses: at least what the router says, and such that the
+// door can keep it.
+func (c *Core) advise(q *Request, least time.Duration) time.Duration {
+	if c.door == nil || q.door != doorInside {
+		return least
+	}
+	return c.door.door.Advise(c.clock(), uint64(q.id), least)
+}
+
+// enter hands the door what has come, and lets in or refuses what it says. Those let in are with the router in the
+// same Flush.
+func (c *Core) enter() {
+	f := c.door
+	if len(f.events) == 0 {
+		return
+	}
+	events := f.events
+	f.events = f.spare[:0]
+	now := c.clock()
+	f.actions = f.door.Step(now, events, f.actions[:0])
+	clear(events) // they may hold settings
+	f.spare = events
+	for _, a := range f.actions {
+		if a.Kind == door.Wake {
+			c.Wheel.At(now+a.After, func() { c.tell(door.Event{Kind: door.Woken}) })
+			continue
+		}
+		q := c.requests[choice.RequestID(a.Request)]
+		if q == nil || q.door != doorQueued { // its client left in the same batch
+			continue
+		}
+		if a.Kind == door.Admit {
+			q.door, q.Class = doorInside, a.Class
+			c.arrive(q, q.deadline-now)
+			continue
+		}
+		q.door = doorNone
+		c.finish(q)
+		q.count.Refused++
+		q.Client.Refused(a.After)
+	}
+}
+
+// DoorFigures are what operators are shown of the door.
+type DoorFigures struct {
+	Count   door.Count
+	Queued  int
+	Sojourn map[string]float64 // quantiles in milliseconds of those who waited and were let in
+	Tenants []door.TenantFigures
+	Lanes   []door.LaneFigures
+}
+
+// Door returns the figures of the door, nil if there is none.
+func (c *Core) Door() *DoorFigures {
+	if c.door == nil {
+		return nil
+	}
+	d := c.door.door
+	f := &DoorFigures{Count: d.Count, Queued: d.Queued(), Tenants: d.Tenants(), Lanes: d.Lanes(),
+		Sojourn: map[string]float64{}}
+	f.Tenants = f.Tenants[:min(len(f.Tenants), c.limits.DoorShown)]
+	for name, q := range map[string]float64{"p50": 50, "p99": 99, "max": 100} {
+		f.Sojourn[name] = float64(d.Sojourn.ValueAtQuantile(q)) / 1000
+	}
+	return f
+}
--- a/internal/core/operators.go
+++ b/internal/core/operators.go
@@ -15,6 +15,7 @@
 	Pending               int
 	Members, Unavailable  int
 	Reloads, ReloadErrors int64
+	Door                  *DoorFigures // nil: there is none
 }
 
 // Figures returns the figures as they were a moment ago, to any goroutine.
@@ -37,6 +38,7 @@
 			f.Classes[name] = f.Classes[name].plus(*a)
 		}
 	}
+	f.Door = c.Door()
 	now := c.clock()
 	if c.ready != nil && (now >= c.readyBy || c.listed && f.Members > 0 && c.router.Leads()) {
 		c.ready()
@@ -73,6 +75,9 @@
 	c.Count.Reloads++
 	c.settings = &s
 	c.push(choice.Event{Kind: choice.SettingsChanged, Settings: &s.Settings})
+	if c.door != nil {
+		c.Refair(c.door.config)
+	}
 }
 
 // TurnedDown counts a configuration that was not taken.
--- /dev/null
+++ b/internal/door/promise_test.go
@@ -0,0 +1,136 @@
+package door
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// returns runs a burst: a tenant asks for three times what there is for some seconds. Of its clients a half comes back
+// when told to, and a half at once, again and again. It returns how many of each were served in the end, of those who
+// were refused at first, and in how many tries.
+type returns struct{ refused, served, tries int }
+
+func burst(t *testing.T, seed uint64) (obedient, hasty returns, w *world) {
+	w = newWorld(t, 8, settings(1, 1))
+	type back struct {
+		at     time.Duration
+		client uint64
+		left   int
+		of     *returns
+	}
+	var waiting []back
+	var ask func(client uint64, of *returns, left int, first bool)
+	ask = func(client uint64, of *returns, left int, first bool) {
+		w.ask(1, read, client, 60*ms, func(j *job) {
+			if j.state == served {
+				if !first {
+					of.served++
+				}
+				return
+			}
+			if first {
+				of.refused++
+			}
+			if left == 0 {
+				return
+			}
+			of.tries++
+			wait := j.after
+			if of == &hasty {
+				wait = 50 * ms
+			}
+			waiting = append(waiting, back{w.now + wait, client, left - 1, of})
+		})
+	}
+	client := seed << 32
+	at := w.now
+	w.run(12*time.Second, ms, func() {
+		w.every(30, func() { w.ask(0, read, w.rng.Uint64(), 60*ms, nil) })
+		rate := 40.0
+		if s := (w.now - at) % (6 * time.Second); s < 2*time.Second {
+			rate = 160
+		}
+		w.every(rate, func() {
+			if client++; client%2 == 0 {
+				ask(client, &obedient, 1, true)
+			} else {
+				ask(client, &hasty, 2, true) // as the protocol's clients do
+			}
+		})
+		kept := waiting[:0]
+		for _, b := range waiting {
+			if b.at > w.now {
+				kept = append(kept, b)
+				continue
+			}
+			ask(b.client, b.of, b.left, false)
+		}
+		waiting = kept
+	})
+	return obedient, hasty, w
+}
+
+// Clients that come back when told to are served at least four times in five; those that do not do no better.
+func TestComingBack(t *testing.T) {
+	obedient, hasty, w := burst(t, 1)
+	t.Logf("obedient %+v, hasty %+v, %+v", obedient, hasty, w.d.Count)
+	require.Greater(t, obedient.refused, 100)
+	require.GreaterOrEqual(t, float64(obedient.served), 0.8*float64(obedient.refused))
+	require.Less(t, float64(hasty.served)/float64(hasty.refused), float64(obedient.served)/float64(obedient.refused))
+	require.Greater(t, w.d.Count.Kept, 10*w.d.Count.Broken)
+	w.settle()
+}
+
+// No more is promised for any stretch of time than can be kept.
+func TestPromisesAreSpread(t *testing.T) {
+	w := newWorld(t, 8, settings(1))
+	w.run(5*time.Second, ms, func() { w.every(200, func() { w.ask(0, read, w.rng.Uint64(), 60*ms, nil) }) })
+	due := map[int64]int{}
+	promised := w.d.Count.Promised
+	for range 2000 {
+		w.ask(0, read, w.rng.Uint64(), 60*ms, func(j *job) { due[int64((w.now+j.after)/(100*ms))]++ })
+	}
+	w.step()
+	require.Greater(t, w.d.Count.Promised, promised)
+	for slot, n := range due {
+		if time.Duration(slot)*100*ms < w.now+w.d.set.MaxRetryAfter*2/5 { // those later may be unpromised
+			require.LessOrEqual(t, n, 20, "8 cores do 13 in 100 ms")
+		}
+	}
+}
+
+// The memory of promises is a table of fixed size, in which a flood takes no place of one that is still to come.
+func TestPromiseTable(t *testing.T) {
+	p := newPromises(64)
+	require.True(t, p.make(7, 2*time.Second, time.Second))
+	made := 0
+	for key := range uint64(10_000) {
+		if p.make(1000+key, 2*time.Second, time.Second) {
+			made++
+		}
+	}
+	require.Equal(t, 63, made)
+	require.Equal(t, early, p.meet(7, time.Second))
+	require.Equal(t, stranger, p.meet(7, 2*time.Second), "who came early has lost it")
+	require.Equal(t, onTime, p.meet(1001, 2*time.Second-punctual))
+	require.Equal(t, stranger, p.meet(1002, 2*time.Second+grace+1))
+	require.True(t, p.make(8, 9*time.Second, 8*time.Second), "what has passed makes room")
+}
+
+// The sketch finds every client that is over a sixteenth of the whole among any number of others.
+func TestSketch(t *testing.T) {
+	var s sketch
+	for i := range uint64(100_000) {
+		s.add(1_000_000+i, 1)
+		if i%8 == 0 {
+			s.add(1, 1)
+		}
+		if i%1000 == 0 {
+			s.halve()
+		}
+	}
+	require.GreaterOrEqual(t, s.add(1, 1), 0)
+	require.Equal(t, -1, s.add(2, 0.1))
+}
--- a/internal/flight/config.go
+++ b/internal/flight/config.go
@@ -10,7 +10,7 @@
 	"net"
 	"strconv"
 
-	"capercove/internal/config"
+	"capercove/internal/config/tables"
 )
 
 // Config is the table [flight] of the operators' file.
@@ -26,14 +26,14 @@
 		return nil
 	}
 	if c.ServerPort < 1 || c.ServerPort > 65535 {
-		return config.Bad("server_port", "%d is no port", c.ServerPort)
+		return tables.Bad("server_port", "%d is no port", c.ServerPort)
 	}
 	for id, addr := range c.Servers {
-		if err := config.Address("servers."+id, addr); err != nil {
+		if err := tables.Address("servers."+id, addr); err != nil {
 			return err
 		}
 	}
-	return config.Address("listen", c.Listen)
+	return tables.Address("listen", c.Listen)
 }
 
 // addr is where a database of the list speaks Flight SQL.
--- a/internal/flight/front.go
+++ b/internal/flight/front.go
@@ -18,11 +18,13 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/peer"
 	"google.golang.org/grpc/status"
 
 	"capercove/internal/core"
 	"capercove/internal/intake"
 	"capercove/internal/limits"
+	"capercove/internal/tenant"
 )
 
 // Front serves Flight SQL clients: statement queries and updates. Commands about the server itself are answered
@@ -221,6 +223,24 @@
 	}
 }
 
+// caller tells who is at the other end.
+func caller(ctx context.Context) (c tenant.Caller) {
+	if p, ok := peer.FromContext(ctx); ok {
+		if a, ok := p.Addr.(*net.TCPAddr); ok {
+			c.Address = a.AddrPort().Addr()
+			c.Connection = uint64(a.Port)
+		}
+	}
+	md, _ := metadata.FromIncomingContext(ctx)
+	c.Header = func(name string) string {
+		if v := md.Get(name); len(v) > 0 {
+			return v[0]
+		}
+		return ""
+	}
+	return c
+}
+
 // keys are this wire's words for the parts of a request.
 var keys = map[intake.Field]string{intake.FieldID: KeyID, intake.FieldClass: KeyClass, intake.FieldGroup: KeyGroup}
 
@@ -249,6 +269,9 @@
 		h.Write([]byte(s.Session))
 		a.Key = max(h.Sum64(), 1)
 	}
+	if f.intake.Sorts() {
+		a.Caller = caller(ctx)
+	}
 	q, problem := f.intake.Request(&a)
 	if problem != nil {
 		return bad(keys[problem.Field], problem.Why)
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -5,8 +5,11 @@
 import (
 	"time"
 
+	"github.com/zeebo/xxh3"
+
 	"capercove/choice"
 	"capercove/internal/core"
+	"capercove/internal/tenant"
 )
 
 // Ask is a statement as a front has read it.
@@ -19,6 +22,7 @@
 	Key      uint64        // hash of the session's key; 0: none
 	Wait     time.Duration // until the client quits; 0: for as long as the class allows
 	After    time.Duration // clock time of the session's last commit; 0: none
+	Caller   tenant.Caller // who asks; looked at only if Sorts
 	Payload  any           // for the backend
 	Backend  core.Backend
 }
@@ -39,7 +43,21 @@
 }
 
 // Intake belongs to the core's goroutine.
-type Intake struct{ core *core.Core }
+type Intake struct {
+	core   *core.Core
+	rules  *tenant.Rules // nil: nobody asks whose requests are
+	client ClientKind
+}
+
+// ClientKind is what tells the clients of a tenant apart.
+type ClientKind string
+
+const (
+	ByKey        ClientKind = "key" // the session's key; for requests that have none, as ByAddress
+	ByAddress    ClientKind = "address"
+	ByConnection ClientKind = "connection"
+	ByUser       ClientKind = "user"
+)
 
 // New returns an intake for requests of a core.
 func New(c *core.Core) *Intake { return &Intake{core: c} }
@@ -67,5 +85,29 @@
 	if class.Read == choice.Write || class.Read == choice.SessionRead {
 		q.Session = a.Key
 	}
+	if in.rules != nil {
+		a.Caller.Front, a.Caller.Class = a.Front, a.Class
+		q.Tenant, q.Caller = in.rules.Of(&a.Caller), in.callerOf(a)
+	}
 	return q, nil
 }
+
+// Sort lets requests be told apart by tenants and clients, from now on by these rules.
+func (in *Intake) Sort(rules *tenant.Rules, client ClientKind) { in.rules, in.client = rules, client }
+
+// Sorts tells whether requests are told apart: fronts then say who calls.
+func (in *Intake) Sorts() bool { return in.rules != nil }
+
+// callerOf numbers the client of a request. It need not be told apart from others for certain.
+func (in *Intake) callerOf(a *Ask) uint64 {
+	switch {
+	case in.client == ByKey && a.Key != 0:
+		return a.Key
+	case in.client == ByUser:
+		return xxh3.HashString(a.Caller.User)
+	case in.client == ByConnection || !a.Caller.Address.IsValid():
+		return a.Caller.Connection
+	}
+	address := a.Caller.Address.As16()
+	return xxh3.Hash(address[:])
+}
--- a/internal/intake/statement.go
+++ b/internal/intake/statement.go
@@ -3,17 +3,22 @@
 import (
 	"capercove/internal/core"
 	"capercove/internal/pg"
+	"capercove/internal/tenant"
 )
 
 // Statement makes a request of a statement of the PostgreSQL wire, whatever brings it: its comment holds what an Ask
 // does. For one that is not to be taken it returns nil, the SQLSTATE and why.
-func (in *Intake) Statement(front, sql string, backend core.Backend) (q *core.Request, code, why string) {
+func (in *Intake) Statement(front, sql string, caller tenant.Caller, backend core.Backend) (q *core.Request, code, why string) {
 	query, err := pg.ParseQuery(sql)
 	if err != nil {
 		return nil, pg.CodeSyntax, err.Error()
 	}
+	if in.rules != nil {
+		caller.Comment = query.Told
+	}
 	q, problem := in.Request(&Ask{Front: front, ID: query.ID, Class: query.Class, Group: query.Group,
-		HasGroup: query.HasGroup, Key: query.Key, Wait: query.Wait, After: query.After, Payload: &query, Backend: backend})
+		HasGroup: query.HasGroup, Key: query.Key, Wait: query.Wait, After: query.After, Caller: caller,
+		Payload: &query, Backend: backend})
 	if problem != nil {
 		return nil, pg.CodeBadValue, problem.Why
 	}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -32,6 +32,13 @@
 	FlightClients int   // connections of Flight clients
 	FlightCalls   int   // Flight calls at once, each of which may hold two messages
 
+	DoorQueue    int // requests that wait at the door, over all groups
+	DoorLanes    int // primaries, and sets of replicas, that have queues of their own; further ones share
+	DoorPromises int // remembered times to come back
+	DoorLeast    int // requests that may be inside a lane, whatever the latency says
+	DoorMost     int // ... and at the most
+	DoorShown    int // tenants that operators are shown
+
 	StoreKeys   int // keys of the replicated store
 	StoreValue  int // bytes of one value
 	Replay      int // requests of a pcap file that are open at once
@@ -118,6 +125,13 @@
 		FlightClients: sockets / 20,
 		FlightCalls:   max(8, int(memory/4/flightMessage)),
 
+		DoorQueue:    4096,
+		DoorLanes:    64,
+		DoorPromises: 8192,
+		DoorLeast:    2,
+		DoorMost:     2000,
+		DoorShown:    8,
+
 		StoreKeys:   1024,
 		StoreValue:  256 << 10,
 		Replay:      64,
--- a/internal/management/management.go
+++ b/internal/management/management.go
@@ -72,10 +72,33 @@
 	fmt.Fprintf(&b, "app.upstream_requests=%d\napp.pending=%d\napp.members=%d\napp.members_unavailable=%d\n",
 		f.Written, f.Pending, f.Members, f.Unavailable)
 	fmt.Fprintf(&b, "app.config_reloads=%d\napp.config_reload_errors=%d\n", f.Reloads, f.ReloadErrors)
+	if f.Door != nil {
+		doorLines(&b, f.Door)
+	}
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	w.Write([]byte(b.String()))
 }
 
+func doorLines(b *strings.Builder, f *core.DoorFigures) {
+	c := &f.Count
+	for _, v := range []struct {
+		name  string
+		value int64
+	}{{"queued", int64(f.Queued)}, {"offered", c.Offered}, {"admitted", c.Admitted}, {"waited", c.Waited}, {"left", c.Left},
+		{"refused.late", c.TooLate + c.Overtook}, {"refused.full", c.NoRoom}, {"refused.ceiling", c.Capped},
+		{"refused.class_gone", c.Gone}, {"promises.made", c.Promised}, {"promises.none", c.Unpromised},
+		{"promises.early", c.Early}, {"promises.kept", c.Kept}, {"promises.broken", c.Broken}} {
+		fmt.Fprintf(b, "app.door.%s=%d\n", v.name, v.value)
+	}
+	for _, name := range slices.Sorted(maps.Keys(f.Sojourn)) {
+		fmt.Fprintf(b, "app.door.sojourn_ms.%s=%.3f\n", name, f.Sojourn[name])
+	}
+	for _, t := range f.Tenants {
+		fmt.Fprintf(b, "app.door.tenants.%s.queued=%d\napp.door.tenants.%s.inside=%d\n", t.Name, t.Queued, t.Name, t.Inside)
+		fmt.Fprintf(b, "app.door.tenants.%s.admitted=%d\napp.door.tenants.%s.refused=%d\n", t.Name, t.Admitted, t.Name, t.Refused)
+	}
+}
+
 func (s *Server) ban(banned bool) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		name := r.PathValue("id")
--- a/internal/net/front.go
+++ b/internal/net/front.go
@@ -1,6 +1,7 @@
 package net
 
 import (
+	"net"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -11,6 +12,7 @@
 	"capercove/internal/intake"
 	"capercove/internal/limits"
 	"capercove/internal/pg"
+	"capercove/internal/tenant"
 	"capercove/internal/wheel"
 )
 
@@ -246,7 +248,7 @@
 		s.answer = pg.AppendReady(pg.AppendComplete(nil, c.Query))
 		return
 	}
-	q, code, why := f.intake.Statement("postgres", c.Query, f.backend)
+	q, code, why := f.intake.Statement("postgres", c.Query, k.caller(), f.backend)
 	if q == nil {
 		k.bad = true
 		s.answer = pg.AppendFailure(nil, code, why)
@@ -257,6 +259,18 @@
 	f.core.Submit(q)
 }
 
+// caller tells who is at the other end, if anybody asks.
+func (k *client) caller() (c tenant.Caller) {
+	if !k.front.intake.Sorts() {
+		return c
+	}
+	c.User, c.Database, c.Application, c.Connection = k.session.User, k.session.Database, k.session.Application, k.number
+	if a, ok := k.conn.RemoteAddr().(*net.TCPAddr); ok {
+		c.Address = a.AddrPort().Addr()
+	}
+	return c
+}
+
 // bad logs bad input, at most one line a kind and period.
 func (f *Front) bad(why string) {
 	f.Count.Bad++
--- a/internal/pcap/config.go
+++ b/internal/pcap/config.go
@@ -3,7 +3,7 @@
 package pcap
 
 import (
-	"capercove/internal/config"
+	"capercove/internal/config/tables"
 )
 
 // Config is the table [pcap] of the operators' file.
@@ -21,11 +21,11 @@
 func (c Config) Check() error {
 	switch {
 	case c.Port < 1 || c.Port > 65535:
-		return config.Bad("port", "%d is no port", c.Port)
+		return tables.Bad("port", "%d is no port", c.Port)
 	case !(c.Speed > 0):
-		return config.Bad("speed", "%v is not above 0", c.Speed)
+		return tables.Bad("speed", "%v is not above 0", c.Speed)
 	case c.Read != "" && c.Read == c.Write:
-		return config.Bad("write", "names the file that is read")
+		return tables.Bad("write", "names the file that is read")
 	}
 	return nil
 }
--- a/internal/pcap/replay.go
+++ b/internal/pcap/replay.go
@@ -9,6 +9,7 @@
 	"capercove/internal/core"
 	"capercove/internal/intake"
 	"capercove/internal/limits"
+	"capercove/internal/tenant"
 )
 
 // Replay runs the queries of a file through the core at the file's pace.
@@ -56,7 +57,7 @@
 }
 
 func (r *Replay) submit(sql string) {
-	q, _, _ := r.Intake.Statement("pcap", sql, r.Backend)
+	q, _, _ := r.Intake.Statement("pcap", sql, tenant.Caller{}, r.Backend)
 	if q == nil {
 		r.bad.Add(1)
 		r.end()
--- a/internal/pg/query.go
+++ b/internal/pg/query.go
@@ -19,6 +19,7 @@
 	Head     string        // the statement up to the digits of d
 	Tail     string        // and from behind them
 	HasGroup bool
+	Comment  string // the whole of it, without its signs
 }
 
 var errNoComment = errors.New("the statement does not end in a comment with id, c and d")
@@ -34,6 +35,7 @@
 		return q, errNoComment
 	}
 	hasWait := false
+	q.Comment = sql[open+2 : open+size]
 	for at, end := open+2, open+size; at < end; {
 		stop := end
 		if comma := strings.IndexByte(sql[at:end], ','); comma >= 0 {
@@ -75,6 +77,18 @@
 	return q, nil
 }
 
+// Told returns the value of a name in the comment, empty if it is not there.
+func (q *Query) Told(name string) string {
+	for rest, more := q.Comment, true; more; {
+		var part string
+		part, rest, more = strings.Cut(rest, ",")
+		if n, value, _ := strings.Cut(part, "="); strings.TrimSpace(n) == name {
+			return strings.TrimRight(value, " ")
+		}
+	}
+	return ""
+}
+
 // keyOf hashes the first quoted text.
 func keyOf(sql string) uint64 {
 	_, rest, ok := strings.Cut(sql, "'")
--- a/internal/pg/session.go
+++ b/internal/pg/session.go
@@ -12,6 +12,9 @@
 	requestCancel = 80877102
 )
 
+// nameBytes is the longest name that PostgreSQL keeps.
+const nameBytes = 63
+
 // Command is what a client's bytes ask for. Answers go out in the order of the commands.
 type Command struct {
 	Reply []byte // ready-made answer; nil for a query
@@ -22,6 +25,9 @@
 
 // Session is our side of one client connection.
 type Session struct {
+	// What the startup message told, each cut to as many bytes as a name may have.
+	User, Database, Application string
+
 	in       framer
 	started  bool
 	skipping bool // an extended query failed: all is skipped up to Sync
@@ -89,6 +95,22 @@
 		return s.Fatal(CodeProtocol, "malformed startup message")
 	}
 	s.started = true
+	for rest := body[4:]; ; {
+		var name, value string
+		if name, rest, _ = cString(rest); name == "" {
+			break
+		}
+		value, rest, _ = cString(rest)
+		value = value[:min(len(value), nameBytes)]
+		switch name {
+		case "user":
+			s.User = value
+		case "database":
+			s.Database = value
+		case "application_name":
+			s.Application = value
+		}
+	}
 	reply := []byte{'R', 0, 0, 0, 8, 0, 0, 0, 0}
 	reply = AppendParameter(reply, "server_version", "16.0")
 	reply = AppendParameter(reply, "client_encoding", "UTF8")
--- a/internal/store/config.go
+++ b/internal/store/config.go
@@ -4,7 +4,7 @@
 	"errors"
 	"fmt"
 
-	"capercove/internal/config"
+	"capercove/internal/config/tables"
 )
 
 // Config is the table [store] of the operators' file.
@@ -28,19 +28,19 @@
 	if !c.Enabled {
 		return nil
 	}
-	if err := errors.Join(config.Address("listen", c.Listen), config.Address("api", c.API)); err != nil {
+	if err := errors.Join(tables.Address("listen", c.Listen), tables.Address("api", c.API)); err != nil {
 		return err
 	}
 	// Against a peer that forgets what it has voted for: with peers, memory alone would break the log's promise.
 	if len(c.Peers) > 0 && c.Dir == "" {
-		return config.Bad("dir", "is empty, and there are peers")
+		return tables.Bad("dir", "is empty, and there are peers")
 	}
 	for i, p := range c.Peers {
 		key := fmt.Sprintf("peers[%d]", i)
 		if p.Name == "" || p.Listen == "" || p.API == "" {
-			return config.Bad(key, "lacks name, listen or api")
+			return tables.Bad(key, "lacks name, listen or api")
 		}
-		if err := errors.Join(config.Address(key+".listen", p.Listen), config.Address(key+".api", p.API)); err != nil {
+		if err := errors.Join(tables.Address(key+".listen", p.Listen), tables.Address(key+".api", p.API)); err != nil {
 			return err
 		}
 	}
@@ -57,5 +57,5 @@
 	if len(c.Peers) == 0 {
 		return nil
 	}
-	return config.Bad("store.peers", "%s is not listed with its own listen and api", name)
+	return tables.Bad("store.peers", "%s is not listed with its own listen and api", name)
 }
--- a/internal/testbed/database.go
+++ b/internal/testbed/database.go
@@ -31,7 +31,7 @@
 
 // Database is a stand-in for one database on both wires. What it does with a statement is told by the first of
 // these words in it: full (turned away), fail (an error), miss (not the primary), cut (the connection breaks),
-// half (a Flight stream stops after a batch), hang (no answer), endless (a Flight stream without end), one of
+// hold (served once Release is called), half (a Flight stream stops after a batch), hang (no answer), endless (a Flight stream without end), one of
 // spoilt (see there), unusable (as that of a bad client), long (the value Long), torn (the same, but the connection
 // breaks halfway). All other statements are served.
 type Database struct {
@@ -45,11 +45,12 @@
 	probes  int
 	ended   int // hangs and endless streams that the pooler ended
 	frozen  bool
+	release chan struct{} // closed by Release
 	conns   map[net.Conn]bool
 	grpc    *grpc.Server
 }
 
-var words = append(slices.Collect(maps.Keys(spoilt)), "full", "fail", "miss", "cut", "half", "hang", "endless", "unusable",
+var words = append(slices.Collect(maps.Keys(spoilt)), "full", "fail", "miss", "cut", "half", "hold", "hang", "endless", "unusable",
 	"long", "torn")
 
 // Long is the value of a long answer.
@@ -69,7 +70,7 @@
 }
 
 func newDatabase(t *testing.T, id string, primary bool) *Database {
-	d := &Database{ID: id, t: t, primary: primary, conns: map[net.Conn]bool{}}
+	d := &Database{ID: id, t: t, primary: primary, conns: map[net.Conn]bool{}, release: make(chan struct{})}
 	l := d.listen()
 	d.Addr = l.Addr().String()
 	go func() {
@@ -127,6 +128,9 @@
 	return len(d.conns)
 }
 
+// Release lets all statements that are held, and those to come, be served.
+func (d *Database) Release() { close(d.release) }
+
 // Cut breaks all connections.
 func (d *Database) Cut() {
 	d.mu.Lock()
@@ -228,6 +232,9 @@
 				continue
 			}
 			reply, word := d.answer(command.Query)
+			if word == "hold" {
+				<-d.release
+			}
 			hanging = word == "hang"
 			if word == "cut" {
 				return
@@ -330,6 +337,8 @@
 	case "cut":
 		s.d.Cut()
 		return word, status.Error(codes.Unavailable, "told to")
+	case "hold":
+		<-s.d.release
 	case "hang":
 		<-ctx.Done()
 		s.d.end()
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -290,6 +290,9 @@
 	return c
 }
 
+// ClearLog forgets what the program has printed so far.
+func (b *Bed) ClearLog() { b.log.Reset() }
+
 // Line returns the first line that the program has printed with a text in it, or nothing.
 func (b *Bed) Line(with string) string {
 	for _, line := range strings.Split(b.log.String(), "\n") {
