Read statements far enough to route them, and measure the door on sockets

Need: a SELECT that calls a writing function, labelled as a read, went to a replica and could be sent again. Change: internal/statement: a full lexer, what tells reads from the rest, shapes in an S3-FIFO cache counted in bytes, cost per shape. The router gets each class also as an unsafe write and as a fresh read (core/route.go), so policy needs no line. [statements] off, observe, enforce; GET /api/statements; labels inside strings or comments are refused when enforced. PostgreSQL's own parser is the oracle of a test module of its own.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run
+.PHONY: build test lint run oracle
 
 build: # what the platform builds
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -12,5 +12,8 @@
 	@expand -t 4 choice/choice.go | awk 'NF { n++ } length($$0) > 110 { print "over 110 columns: line " NR; bad = 1 } \
 	    END { print "choice.go: " n " lines"; exit bad || n > 850 }'
 
+oracle: # statements against PostgreSQL's own parser; the parser is a need of this alone
+	cd internal/statement/oracle && go test -count=1 ./...
+
 run: build # one pooler; GW_CONFIG names its configuration
 	exec bin/capercove
--- a/cmd/capercove/main.go
+++ b/cmd/capercove/main.go
@@ -29,6 +29,7 @@
 	"capercove/internal/management"
 	"capercove/internal/net"
 	"capercove/internal/pcap"
+	"capercove/internal/statement"
 	"capercove/internal/store"
 	"capercove/internal/tenant"
 )
@@ -43,14 +44,17 @@
 
 // file is the operators' file.
 type file struct {
-	Flight flight.Config `toml:"flight"`
-	Store  store.Config  `toml:"store"`
-	Pcap   pcap.Config   `toml:"pcap"`
-	Door   door.Config   `toml:"door"`
+	Flight     flight.Config    `toml:"flight"`
+	Store      store.Config     `toml:"store"`
+	Pcap       pcap.Config      `toml:"pcap"`
+	Door       door.Config      `toml:"door"`
+	Statements statement.Config `toml:"statements"`
 }
 
 // defaults is what an empty file means: all off.
-func defaults() file { return file{Pcap: pcap.Defaults(), Door: door.Defaults()} }
+func defaults() file {
+	return file{Pcap: pcap.Defaults(), Door: door.Defaults(), Statements: statement.Defaults()}
+}
 
 // program is the wired parts.
 type program struct {
@@ -167,6 +171,9 @@
 	go p.signals(signals)
 	log.Info().Str("listen", cfg.Listen).Int("members", len(cfg.Known.Members)).Msg("starting")
 	start := func() {
+		if own.Statements.On() {
+			in.Statements(own.Statements, l.Shapes, cfg.Seed, l.LogEvery, log)
+		}
 		p.core.Known(cfg.Known.Entries(cfg.Facts.Zones))
 		p.bans.Look()
 		p.driver.Do(p.core.Start) // behind the bans: they hold before anything is sent
@@ -204,6 +211,21 @@
 
 func (o operator) Figures() core.Figures { return o.p.core.Figures() }
 
+func (o operator) Statements() *management.Statements {
+	found := make(chan *management.Statements, 1)
+	o.p.driver.Do(func() {
+		r := o.p.intake.Readings()
+		if r == nil {
+			found <- nil
+			return
+		}
+		most := o.p.limits.ShapesTold
+		found <- &management.Statements{Readings: *r, ByCalls: o.p.intake.Top(statement.ByCalls, most),
+			ByTime: o.p.intake.Top(statement.ByTime, most), ByDisagreement: o.p.intake.Top(statement.ByDisagreement, most)}
+	})
+	return <-found
+}
+
 func (o operator) Ban(name string, banned bool) (known bool, err error) {
 	found := make(chan bool)
 	o.p.driver.Do(func() { found <- o.p.core.Has(discovery.ID(name)) })
@@ -282,6 +304,7 @@
 	l := limitsOf(c)
 	p.driver.Do(func() {
 		p.core.Retune(settings(c))
+		p.intake.Statements(own.Statements, l.Shapes, c.Seed, l.LogEvery, p.log)
 		if fair {
 			p.intake.Sort(rules, intake.ClientKind(own.Door.Client))
 			p.core.Refair(own.Door)
@@ -338,6 +361,9 @@
 	if p.store != nil {
 		line = line.Interface("store", p.store.All())
 	}
+	if r := p.intake.Readings(); r != nil {
+		line = line.Interface("statements", r)
+	}
 	if d := p.core.Door(); d != nil {
 		line = line.Interface("door", d)
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -71,13 +71,17 @@
 	Payload      any           // for the backend
 	Backend      Backend
 	Client       Client
-	Tenant       int // whose it is, and which client's of theirs, for the door
+	Route        Route         // how it is routed, if not as its class says
+	Work         time.Duration // expected; 0: unknown
+	Learner      Learner       // is told what it took; nil: nobody
+	Tenant       int           // whose it is, and which client's of theirs, for the door
 	Caller       uint64
 
 	id       choice.RequestID
 	deadline time.Duration
 	attempts []*Attempt
 	out      int
+	routed   int // the router's class
 	door     doorState
 	ran      bool          // an attempt may have run
 	took     time.Duration // the last attempt that was answered, or not in time
@@ -99,6 +103,7 @@
 	sent   time.Duration
 	first  time.Duration // its answer's first piece; 0 for one that comes whole
 	timer  *wheel.Timer
+	others int // attempts out at its database when it was sent, of requests that teach
 	done   bool
 	whole  bool // it has been written whole
 }
@@ -150,7 +155,9 @@
 	bans     map[choice.NodeID]time.Duration
 	ready    func() // called once; nil from then on
 	readyBy  time.Duration
-	listed   bool // the list has come
+	routes   bool                  // the router knows each class as a write and as a read too
+	out      map[choice.NodeID]int // attempts that are out, of requests that teach
+	listed   bool                  // the list has come
 	stopping bool
 	members  map[choice.NodeID]*Member
 	requests map[choice.RequestID]*Request
@@ -172,6 +179,7 @@
 func New(s Settings, seed uint64, l limits.Limits, log zerolog.Logger, clock func() time.Duration, wake, ready func()) *Core {
 	return &Core{Wheel: wheel.New(l.Tick, l.Slots, clock()), limits: l, log: log, clock: clock, wake: wake,
 		router: choice.New(s.Settings, seed), settings: &s, ready: ready, members: map[choice.NodeID]*Member{},
+		out:      map[choice.NodeID]int{},
 		requests: map[choice.RequestID]*Request{}, names: map[string]struct{}{},
 		Count: Counters{Fronts: map[string]map[string]*Answers{}}}
 }
@@ -258,6 +266,7 @@
 	expires := max(q.Expires-c.limits.Margin, 0)
 	q.deadline = c.clock() + expires
 	c.requests[q.id] = q
+	q.routed = c.route(q)
 	c.names[q.Name] = struct{}{}
 	// Against a request without an answer, whatever the router or a backend forgets.
 	q.guard = c.Wheel.At(q.deadline+c.limits.Overdue, func() {
@@ -281,7 +290,7 @@
 // arrive hands a request to the router.
 func (c *Core) arrive(q *Request, expires time.Duration) {
 	c.events = append(c.events, choice.Event{Kind: choice.RequestArrived, Request: q.id, Arrival: choice.Arrival{
-		Class: q.Class, Group: q.Group, Session: q.Session, Expires: expires, LastWrite: q.LastWrite}})
+		Class: q.routed, Group: q.Group, Session: q.Session, Expires: expires, Work: q.Work, LastWrite: q.LastWrite}})
 }
 
 // Leave tells that the client has gone. Nothing is owed any more; attempts still out are ended.
@@ -396,7 +405,7 @@
 	if a.first > 0 { // what the client took to read is not the database's time
 		took = a.first - a.sent
 	}
-	c.learn(q, status, took)
+	c.learn(a, status, took)
 	if !q.done {
 		switch {
 		case status == choice.OK:
@@ -580,6 +589,10 @@
 	c.Count.Attempts++
 	// Against peers that are cut off and never close.
 	try.timer = c.Wheel.At(try.Until, func() { c.cancel(try, choice.TimedOut) })
+	if q.Learner != nil {
+		try.others = c.out[a.Node]
+		c.out[a.Node]++
+	}
 	q.Backend.Send(try)
 }
 
--- a/internal/core/door.go
+++ b/internal/core/door.go
@@ -42,9 +42,11 @@
 }
 
 func (c *Core) doorSettings(cfg door.Config) door.Settings {
-	classes := make([]door.Class, len(c.settings.Classes))
-	for i, class := range c.settings.Classes {
-		classes[i] = door.Class{Name: c.settings.Names[i], Aim: class.Aim,
+	routed := c.routed()
+	classes := make([]door.Class, len(routed.Classes))
+	for i, class := range routed.Classes {
+		n := len(c.settings.Names)
+		classes[i] = door.Class{Name: c.settings.Names[i%n] + Route(i/n).String(), Aim: class.Aim,
 			Primary: class.Read == choice.Write || class.Read == choice.FreshRead}
 	}
 	most := c.settings.MaxRetryAfter
@@ -65,8 +67,8 @@
 // offer brings a request to the door.
 func (c *Core) offer(q *Request, expires time.Duration) {
 	q.door = doorQueued
-	c.tell(door.Event{Kind: door.Offered, Request: uint64(q.id), Offer: door.Offer{Tenant: q.Tenant, Class: q.Class,
-		Group: q.Group, Client: q.Caller, Expires: expires}})
+	c.tell(door.Event{Kind: door.Offered, Request: uint64(q.id), Offer: door.Offer{Tenant: q.Tenant, Class: q.routed,
+		Group: q.Group, Client: q.Caller, Work: q.Work, Expires: expires}})
 }
 
 // outside tells the door that a request is over, or that it holds no database up any more.
@@ -80,8 +82,12 @@
 	q.door = doorNone
 }
 
-// learn notes for the door how an attempt ended.
-func (c *Core) learn(q *Request, status choice.Status, took time.Duration) {
+// learn notes for the door, and for who learns what statements take, how an attempt ended.
+func (c *Core) learn(a *Attempt, status choice.Status, took time.Duration) {
+	q := a.Request
+	if q.Learner != nil {
+		c.teach(a, status, took)
+	}
 	if q.door != doorInside {
 		return
 	}
@@ -126,7 +132,7 @@
 			continue
 		}
 		if a.Kind == door.Admit {
-			q.door, q.Class = doorInside, a.Class
+			q.door, q.routed = doorInside, a.Class
 			c.arrive(q, q.deadline-now)
 			continue
 		}
--- a/internal/core/operators.go
+++ b/internal/core/operators.go
@@ -74,10 +74,7 @@
 func (c *Core) Retune(s Settings) {
 	c.Count.Reloads++
 	c.settings = &s
-	c.push(choice.Event{Kind: choice.SettingsChanged, Settings: &s.Settings})
-	if c.door != nil {
-		c.Refair(c.door.config)
-	}
+	c.retune()
 }
 
 // TurnedDown counts a configuration that was not taken.
--- /dev/null
+++ b/internal/core/route.go
@@ -0,0 +1,86 @@
+package core
+
+import (
+	"time"
+
+	"capercove/choice"
+)
+
+// Route tells how a request is routed where what it does is not what its class says. Its class's aim, deadline and worth
+// stay, and so does what it is counted as.
+type Route uint8
+
+const (
+	AsLabelled Route = iota
+	AsWrite          // by the primary only, and never again once it may have run
+	AsRead           // by whoever has all that was committed before it came, and again if need be
+	routes
+)
+
+func (r Route) String() string { return [...]string{"", " as a write", " as a read"}[r] }
+
+// Learner is told what the attempts of a request take.
+type Learner interface {
+	// Learned tells what one took, beside so many others at its database.
+	Learned(took time.Duration, others int)
+}
+
+// Reroute lets requests be routed otherwise than their classes say. Off, the router knows the classes alone.
+func (c *Core) Reroute(on bool) {
+	if on == c.routes {
+		return
+	}
+	c.routes = on
+	c.retune()
+}
+
+// route is the router's number for the class of a request.
+func (c *Core) route(q *Request) int {
+	if !c.routes {
+		return q.Class
+	}
+	return q.Class + int(q.Route)*len(c.settings.Classes)
+}
+
+// routed are the settings as the router has them: with each class as it is, then each as a write, then each as a read.
+func (c *Core) routed() choice.Settings {
+	s := c.settings.Settings
+	if !c.routes {
+		return s
+	}
+	all := make([]choice.Class, 0, int(routes)*len(s.Classes))
+	for r := AsLabelled; r < routes; r++ {
+		for _, class := range s.Classes {
+			switch r {
+			case AsWrite:
+				class.Read, class.Effect = choice.Write, choice.Unsafe
+			case AsRead:
+				class.Read, class.Effect = choice.FreshRead, choice.Safe
+			}
+			all = append(all, class)
+		}
+	}
+	s.Classes = all
+	return s
+}
+
+// retune hands the settings as they are to the router and to the door.
+func (c *Core) retune() {
+	s := c.routed()
+	c.push(choice.Event{Kind: choice.SettingsChanged, Settings: &s})
+	if c.door != nil {
+		c.Refair(c.door.config)
+	}
+}
+
+// teach tells what an attempt took, if it was answered well.
+func (c *Core) teach(a *Attempt, status choice.Status, took time.Duration) {
+	if n := c.out[a.Member.ID] - 1; n > 0 {
+		c.out[a.Member.ID] = n
+	} else {
+		delete(c.out, a.Member.ID)
+	}
+	if status == choice.OK {
+		a.Request.Learner.Learned(took, a.others)
+	}
+}
--- a/internal/flight/front.go
+++ b/internal/flight/front.go
@@ -249,7 +249,7 @@
 	bad := func(key, why string) (*core.Request, error) {
 		return nil, status.Error(codes.InvalidArgument, key+": "+why)
 	}
-	a := intake.Ask{Front: "flight", ID: s.ID, Class: s.Class, HasGroup: true, Payload: s, Backend: f.backend}
+	a := intake.Ask{Front: "flight", ID: s.ID, Class: s.Class, HasGroup: true, SQL: s.SQL, Update: s.update, Payload: s, Backend: f.backend}
 	var err error
 	if a.Group, err = strconv.Atoi(s.Group); err != nil {
 		return bad(KeyGroup, "not a number")
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -22,6 +22,9 @@
 	Key      uint64        // hash of the session's key; 0: none
 	Wait     time.Duration // until the client quits; 0: for as long as the class allows
 	After    time.Duration // clock time of the session's last commit; 0: none
+	SQL      string
+	Label    int           // where its comment with the label begins; 0: the label came otherwise
+	Update   bool          // the wire itself says that it writes
 	Caller   tenant.Caller // who asks; looked at only if Sorts
 	Payload  any           // for the backend
 	Backend  core.Backend
@@ -34,6 +37,7 @@
 	FieldID Field = iota
 	FieldClass
 	FieldGroup
+	FieldLabel // the comment that holds all of them
 )
 
 // Problem tells why an Ask is not to be taken. Asking it again brings no other answer.
@@ -47,6 +51,7 @@
 	core   *core.Core
 	rules  *tenant.Rules // nil: nobody asks whose requests are
 	client ClientKind
+	reader *reader // nil: labels are believed
 }
 
 // ClientKind is what tells the clients of a tenant apart.
@@ -85,6 +90,11 @@
 	if class.Read == choice.Write || class.Read == choice.SessionRead {
 		q.Session = a.Key
 	}
+	if in.reader != nil {
+		if problem := in.read(a, class, q); problem != nil {
+			return nil, problem
+		}
+	}
 	if in.rules != nil {
 		a.Caller.Front, a.Caller.Class = a.Front, a.Class
 		q.Tenant, q.Caller = in.rules.Of(&a.Caller), in.callerOf(a)
--- a/internal/intake/statement.go
+++ b/internal/intake/statement.go
@@ -17,9 +17,12 @@
 		caller.Comment = query.Told
 	}
 	q, problem := in.Request(&Ask{Front: front, ID: query.ID, Class: query.Class, Group: query.Group,
-		HasGroup: query.HasGroup, Key: query.Key, Wait: query.Wait, After: query.After, Caller: caller,
+		HasGroup: query.HasGroup, Key: query.Key, Wait: query.Wait, After: query.After, SQL: sql, Label: query.Label, Caller: caller,
 		Payload: &query, Backend: backend})
 	if problem != nil {
+		if problem.Field == FieldLabel {
+			return nil, pg.CodeSyntax, problem.Why
+		}
 		return nil, pg.CodeBadValue, problem.Why
 	}
 	return q, "", ""
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -39,6 +39,9 @@
 	DoorMost     int // ... and at the most
 	DoorShown    int // tenants that operators are shown
 
+	Shapes     int // bytes of what is remembered of statements
+	ShapesTold int // shapes that operators are shown in one order
+
 	StoreKeys   int // keys of the replicated store
 	StoreValue  int // bytes of one value
 	Replay      int // requests of a pcap file that are open at once
@@ -132,6 +135,9 @@
 		DoorMost:     2000,
 		DoorShown:    8,
 
+		Shapes:     1 << 20,
+		ShapesTold: 20,
+
 		StoreKeys:   1024,
 		StoreValue:  256 << 10,
 		Replay:      64,
--- a/internal/management/management.go
+++ b/internal/management/management.go
@@ -3,6 +3,7 @@
 package management
 
 import (
+	"encoding/json"
 	"fmt"
 	"maps"
 	"net"
@@ -15,16 +16,27 @@
 	"golang.org/x/net/netutil"
 
 	"capercove/internal/core"
+	"capercove/internal/intake"
 	"capercove/internal/limits"
+	"capercove/internal/statement"
 )
 
 // Pooler is what operators look at and change. All its calls may wait.
 type Pooler interface {
 	Figures() core.Figures
+	// Statements are what was read of them, nil if none are.
+	Statements() *Statements
 	// Ban keeps a database out, or lets it back in. It returns when that holds; known is false if nobody has the name.
 	Ban(name string, banned bool) (known bool, err error)
 }
 
+// Statements are what operators are shown of the statements that were read, and of the shapes that matter most. No values
+// are in them.
+type Statements struct {
+	intake.Readings
+	ByCalls, ByTime, ByDisagreement []statement.Shape
+}
+
 // Server answers operators.
 type Server struct {
 	http   *http.Server
@@ -38,6 +50,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /api/ready", s.ready)
 	mux.HandleFunc("GET /api/telemetry", s.telemetry)
+	mux.HandleFunc("GET /api/statements", s.statements)
 	mux.HandleFunc("PUT /api/exclude/{id}", s.ban(true))
 	mux.HandleFunc("PUT /api/include/{id}", s.ban(false))
 	s.http = &http.Server{Handler: mux, ReadTimeout: l.OperatorHead, WriteTimeout: l.OperatorHead + l.OperatorCall,
@@ -79,6 +92,27 @@
 	w.Write([]byte(b.String()))
 }
 
+func (s *Server) statements(w http.ResponseWriter, _ *http.Request) {
+	done := make(chan *Statements, 1)
+	go func() { done <- s.pooler.Statements() }()
+	select {
+	case v := <-done:
+		if v == nil {
+			http.Error(w, "statements are not read: [statements] mode is off", http.StatusNotFound)
+			return
+		}
+		text, err := json.MarshalIndent(v, "", " ")
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		w.Write(append(text, '\n'))
+	case <-time.After(s.limits.OperatorCall):
+		http.Error(w, "the pooler is busy", http.StatusServiceUnavailable)
+	}
+}
+
 func doorLines(b *strings.Builder, f *core.DoorFigures) {
 	c := &f.Count
 	for _, v := range []struct {
--- a/internal/pg/query.go
+++ b/internal/pg/query.go
@@ -19,6 +19,7 @@
 	Head     string        // the statement up to the digits of d
 	Tail     string        // and from behind them
 	HasGroup bool
+	Label    int    // where the comment begins
 	Comment  string // the whole of it, without its signs
 }
 
@@ -35,7 +36,7 @@
 		return q, errNoComment
 	}
 	hasWait := false
-	q.Comment = sql[open+2 : open+size]
+	q.Label, q.Comment = open, sql[open+2:open+size]
 	for at, end := open+2, open+size; at < end; {
 		stop := end
 		if comma := strings.IndexByte(sql[at:end], ','); comma >= 0 {
--- a/internal/testbed/database.go
+++ b/internal/testbed/database.go
@@ -7,9 +7,12 @@
 	"fmt"
 	"maps"
 	"net"
+	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -38,14 +41,17 @@
 	ID, Addr, Flight string
 
 	t       *testing.T
-	primary bool
+	primary atomic.Bool
 	mu      sync.Mutex
 	got     []string
 	started int
+	ran     map[string]int // executed statements that call a writing function, by their id
+	strayed int            // ... that came while this was no primary, and were turned away
 	probes  int
 	ended   int // hangs and endless streams that the pooler ended
 	frozen  bool
 	release chan struct{} // closed by Release
+	cores   chan struct{} // taken by statements that say how long they take; nil: they take no time
 	conns   map[net.Conn]bool
 	grpc    *grpc.Server
 }
@@ -70,7 +76,8 @@
 }
 
 func newDatabase(t *testing.T, id string, primary bool) *Database {
-	d := &Database{ID: id, t: t, primary: primary, conns: map[net.Conn]bool{}, release: make(chan struct{})}
+	d := &Database{ID: id, t: t, conns: map[net.Conn]bool{}, release: make(chan struct{}), ran: map[string]int{}}
+	d.primary.Store(primary)
 	l := d.listen()
 	d.Addr = l.Addr().String()
 	go func() {
@@ -87,7 +94,7 @@
 
 func (d *Database) entry(phase string) discovery.Entry {
 	mode := "read-only"
-	if d.primary {
+	if d.primary.Load() {
 		mode = "read-write"
 	}
 	return discovery.Entry{ID: d.ID, Addr: d.Addr, Locality: "a", Cell: 3, Phase: phase, Mode: mode}
@@ -131,6 +138,44 @@
 // Release lets all statements that are held, and those to come, be served.
 func (d *Database) Release() { close(d.release) }
 
+// Cores gives the database cores: from now on a statement with takesN in it holds one for N milliseconds, and waits for
+// it if all are held.
+func (d *Database) Cores(n int) { d.cores = make(chan struct{}, n) }
+
+var takes = regexp.MustCompile(`takes(\d+)`)
+
+func (d *Database) work(sql string) {
+	if d.cores == nil {
+		return
+	}
+	if m := takes.FindStringSubmatch(sql); m != nil {
+		ms, _ := strconv.Atoi(m[1])
+		d.cores <- struct{}{}
+		time.Sleep(time.Duration(ms) * time.Millisecond)
+		<-d.cores
+	}
+}
+
+// writing finds statements that write, whatever their label says, with their id.
+var writing = regexp.MustCompile(`(?i)(?:nextval|insert into|delete from).*id=([^,]*)`)
+
+// Ran is how often each statement that writes was executed, by its id.
+func (d *Database) Ran() map[string]int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return maps.Clone(d.ran)
+}
+
+// Strayed is how many statements that write have come while this was no primary.
+func (d *Database) Strayed() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.strayed
+}
+
+// Lead makes the database the primary, or a replica.
+func (d *Database) Lead(on bool) { d.primary.Store(on) }
+
 // Cut breaks all connections.
 func (d *Database) Cut() {
 	d.mu.Lock()
@@ -159,6 +204,13 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.got = append(d.got, sql)
+	if m := writing.FindStringSubmatch(sql); m != nil {
+		if !d.primary.Load() {
+			d.strayed++
+			return "miss"
+		}
+		d.ran[m[1]]++
+	}
 	for _, word := range words {
 		if strings.Contains(sql, word) {
 			return word
@@ -254,11 +306,12 @@
 		d.probes++
 		d.mu.Unlock()
 		x1 := 0
-		if d.primary {
+		if d.primary.Load() {
 			x1 = 1
 		}
 		return row(nil, fmt.Sprintf("x0=%.3f,x1=%d,util=0.1", float64(now())/1000, x1)), ""
 	}
+	d.work(sql)
 	switch word = d.note(sql); word {
 	case "full":
 		return d.failure(pg.CodeFull), word
