Build an emulated fleet on sockets and in virtual time, and a lab that plays scenarios on it

The door's limiter now takes what the router sheds at once for want of room, the least mean of a window for the floor, and cuts no more often than a cut takes to show.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run oracle
+.PHONY: build test lint run oracle demo
 
 build: # what the platform builds
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -15,5 +15,8 @@
 oracle: # statements against PostgreSQL's own parser; the parser is a need of this alone
 	cd internal/statement/oracle && go test -count=1 ./...
 
+demo: build # a fleet, a pooler and load on loopback
+	bin/capercove-lab run --out found/demo scenarios/primary-killed.toml
+
 run: build # one pooler; GW_CONFIG names its configuration
 	exec bin/capercove
--- /dev/null
+++ b/cmd/capercove-lab/main.go
@@ -0,0 +1,265 @@
+// Command capercove-lab shows the pooler at work without the platform: it runs an emulated fleet, sends load, plays
+// scenarios for real or in a model, compares builds and writes reports.
+//
+// Exit status: 0 all is met; 1 something else failed; 2 the command line is wrong; 3 a scenario's expectations are not
+// met or a rule was broken; 4 a run was void.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/mattn/go-isatty"
+	"github.com/spf13/cobra"
+
+	"capercove/internal/lab"
+	"capercove/internal/load"
+	"capercove/internal/standin"
+	"capercove/internal/world"
+)
+
+// Exit statuses.
+const (
+	failed = 1
+	usage  = 2
+	notMet = 3
+	void   = 4
+)
+
+// status is an error that says with what the program ends.
+type status struct {
+	code int
+	error
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := root().ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "capercove-lab:", err)
+		var s status
+		if errors.As(err, &s) {
+			os.Exit(s.code)
+		}
+		os.Exit(failed)
+	}
+}
+
+func root() *cobra.Command {
+	c := &cobra.Command{Use: "capercove-lab", Short: "An emulated fleet, load and experiments for capercove", SilenceUsage: true, SilenceErrors: true}
+	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return status{usage, err} })
+	c.AddCommand(runCommand(), fleetCommand(), compareCommand(), checkCommand())
+	return c
+}
+
+// binary is where the pooler is, beside this program if nothing else is said.
+func binary() string {
+	if self, err := os.Executable(); err == nil {
+		return filepath.Join(filepath.Dir(self), "capercove")
+	}
+	return "capercove"
+}
+
+func exactly(n int, what string) cobra.PositionalArgs {
+	return func(_ *cobra.Command, args []string) error {
+		if len(args) != n {
+			return status{usage, fmt.Errorf("%s: %d arguments, want %d", what, len(args), n)}
+		}
+		return nil
+	}
+}
+
+func runCommand() *cobra.Command {
+	var inModel bool
+	var out, program string
+	var seed uint64
+	c := &cobra.Command{Use: "run SCENARIO", Short: "Play a scenario: fleet, poolers, load and faults", Args: exactly(1, "run SCENARIO")}
+	c.Flags().BoolVar(&inModel, "model", false, "in virtual time, without sockets")
+	c.Flags().StringVar(&out, "out", "", "folder for report.html, seconds.csv and summary.json")
+	c.Flags().StringVar(&program, "binary", binary(), "the pooler")
+	c.Flags().Uint64Var(&seed, "seed", 0, "another seed than the scenario's")
+	c.RunE = func(c *cobra.Command, args []string) error {
+		w, err := world.LoadFile(args[0])
+		if err != nil {
+			return err
+		}
+		if seed > 0 {
+			w.Seed = seed
+		}
+		r, err := play(c.Context(), w, inModel, program)
+		if err != nil {
+			return err
+		}
+		r.Print(c.OutOrStdout())
+		if out != "" {
+			if err := write(r, out); err != nil {
+				return err
+			}
+			fmt.Fprintln(c.OutOrStdout(), "report:", filepath.Join(out, "report.html"))
+		}
+		switch {
+		case r.Void != "":
+			return status{void, errors.New("the run is void: " + r.Void)}
+		case len(r.Missed) > 0:
+			return status{notMet, fmt.Errorf("%d expectations are not met", len(r.Missed))}
+		}
+		return nil
+	}
+	return c
+}
+
+func play(ctx context.Context, w *world.World, inModel bool, program string) (*lab.Run, error) {
+	if inModel {
+		return lab.Model(w)
+	}
+	dir, err := os.MkdirTemp("", "capercove-lab")
+	if err != nil {
+		return nil, err
+	}
+	return lab.Real(ctx, w, lab.Options{Binary: program, Dir: dir, Host: "127.0.0.1", Progress: progress(w)})
+}
+
+// progress prints a line now and then: over itself on a terminal, and a new one each five seconds elsewhere.
+func progress(w *world.World) func(time.Duration, *load.Driver) {
+	terminal := isatty.IsTerminal(os.Stderr.Fd())
+	last := time.Duration(0)
+	return func(at time.Duration, d *load.Driver) {
+		if !terminal && at-last < 5*time.Second {
+			return
+		}
+		last = at
+		line := fmt.Sprintf("%5.1f of %.0f s, %d open", at.Seconds(), w.Seconds, d.Open())
+		for _, c := range w.Classes {
+			line += fmt.Sprintf("; %s %.3f in time", c.Name, d.Result.Classes[c.Name].InTimeShare())
+		}
+		if terminal {
+			fmt.Fprintf(os.Stderr, "\r\x1b[K%s", line)
+			if at.Seconds() >= w.Seconds && d.Open() == 0 {
+				fmt.Fprintln(os.Stderr)
+			}
+			return
+		}
+		fmt.Fprintln(os.Stderr, line)
+	}
+}
+
+// write keeps a run in a folder.
+func write(r *lab.Run, dir string) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	for name, to := range map[string]func(f *os.File) error{
+		"report.html":  func(f *os.File) error { return r.HTML(f) },
+		"seconds.csv":  func(f *os.File) error { return r.CSV(f) },
+		"summary.json": func(f *os.File) error { return r.JSON(f) },
+	} {
+		f, err := os.Create(filepath.Join(dir, name))
+		if err != nil {
+			return err
+		}
+		if err := errors.Join(to(f), f.Close()); err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	return nil
+}
+
+func fleetCommand() *cobra.Command {
+	var dir, listen, management string
+	c := &cobra.Command{Use: "fleet SCENARIO", Short: "Run a scenario's databases and discovery until interrupted, and write a pooler's configuration",
+		Args: exactly(1, "fleet SCENARIO")}
+	c.Flags().StringVar(&dir, "dir", ".", "folder for pooler-0.json and pooler-0.toml")
+	c.Flags().StringVar(&listen, "listen", "127.0.0.1:6543", "where the pooler is to listen")
+	c.Flags().StringVar(&management, "management", "127.0.0.1:6544", "where operators call it")
+	c.RunE = func(c *cobra.Command, args []string) error {
+		w, err := world.LoadFile(args[0])
+		if err != nil {
+			return err
+		}
+		f, err := standin.Start(w, "127.0.0.1")
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		text, err := f.Config(0, listen, management, 192, 1024)
+		if err != nil {
+			return err
+		}
+		config, own := filepath.Join(dir, "pooler-0.json"), filepath.Join(dir, "pooler-0.toml")
+		if err := errors.Join(os.WriteFile(config, text, 0o600), os.WriteFile(own, []byte(w.Operator()), 0o600)); err != nil {
+			return err
+		}
+		fmt.Fprintf(c.OutOrStdout(), "GW_CONFIG=%s CAPERCOVE_CONFIG=%s capercove\n", config, own)
+		f.Clock.Wait(f.Begin)
+		<-c.Context().Done()
+		return nil
+	}
+	return c
+}
+
+func compareCommand() *cobra.Command {
+	var inModel bool
+	var most int
+	var budget time.Duration
+	var width float64
+	c := &cobra.Command{Use: "compare A B SCENARIO", Short: "Compare two poolers (or, with --model, two scenario files A and B) by paired runs",
+		Long: "Plays the scenario with both, paired by seed, until the interval of the difference is as narrow as asked or the budget is spent.\n" +
+			"With --model, A and B are scenario files that differ in what is to be compared, and SCENARIO is left out.",
+		Args: cobra.RangeArgs(2, 3)}
+	c.Flags().BoolVar(&inModel, "model", false, "compare two scenario files in the model")
+	c.Flags().IntVar(&most, "runs", 30, "pairs at the most")
+	c.Flags().DurationVar(&budget, "budget", 10*time.Minute, "time at the most")
+	c.Flags().Float64Var(&width, "width", 0.02, "width of the interval that is narrow enough")
+	c.RunE = func(c *cobra.Command, args []string) error {
+		if inModel != (len(args) == 2) {
+			return status{usage, errors.New("compare A B SCENARIO with poolers, compare --model A B with scenario files")}
+		}
+		one := func(which int, seed uint64) (float64, error) {
+			path, program := args[which], ""
+			if !inModel {
+				path, program = args[2], args[which]
+			}
+			w, err := world.LoadFile(path)
+			if err != nil {
+				return 0, err
+			}
+			w.Seed = seed
+			r, err := play(c.Context(), w, inModel, program)
+			if err == nil && r.Void != "" {
+				err = status{void, errors.New("a run is void: " + r.Void)}
+			}
+			if err != nil {
+				return 0, err
+			}
+			return r.Result.Score(), nil
+		}
+		result, err := lab.Compare(c.Context(), one, most, budget, width, func(line string) { fmt.Fprintln(os.Stderr, line) })
+		if err != nil {
+			return err
+		}
+		fmt.Fprintln(c.OutOrStdout(), result)
+		return nil
+	}
+	return c
+}
+
+func checkCommand() *cobra.Command {
+	return &cobra.Command{Use: "check SCENARIO...", Short: "Check scenario files", Args: cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			var all error
+			for _, path := range args {
+				if _, err := world.LoadFile(path); err != nil {
+					all = errors.Join(all, err)
+				} else {
+					fmt.Fprintln(c.OutOrStdout(), path, "is good")
+				}
+			}
+			return all
+		}}
+}
--- a/internal/config/tables/tables.go
+++ b/internal/config/tables/tables.go
@@ -66,7 +66,7 @@
 	} else if err != nil {
 		return fmt.Errorf("%s: %w", Variable, err)
 	}
-	return parse(path, text, into)
+	return Parse(path, text, into)
 }
 
 func exists(path string) bool {
@@ -74,10 +74,11 @@
 	return err == nil
 }
 
-func parse(path string, text []byte, into any) error {
+// Parse reads a text as Load does a file of this name.
+func Parse(path string, text []byte, into any) error {
 	decoder := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
 	if err := decoder.Decode(into); err != nil {
-		return located(path, err)
+		return Located(path, err)
 	}
 	v := reflect.ValueOf(into).Elem()
 	for i := range v.NumField() {
@@ -95,7 +96,7 @@
 			return fmt.Errorf("%s: %s: %w", path, name, err)
 		}
 		at.Key = name + "." + at.Key
-		if line := lines(text)[at.Key]; line > 0 {
+		if line := Lines(text)[at.Key]; line > 0 {
 			return fmt.Errorf("%s:%d: %w", path, line, at)
 		}
 		return fmt.Errorf("%s: %w", path, at) // the key is not in the file
@@ -103,8 +104,8 @@
 	return nil
 }
 
-// located words a decoder's error with its line and key.
-func located(path string, err error) error {
+// Located words a decoder's error with its line and key.
+func Located(path string, err error) error {
 	var unknown *toml.StrictMissingError
 	if errors.As(err, &unknown) && len(unknown.Errors) > 0 {
 		first := &unknown.Errors[0]
@@ -132,8 +133,8 @@
 	return s
 }
 
-// lines are the line numbers, from 1, of all keys and tables of a text that has been parsed already.
-func lines(text []byte) map[string]int {
+// Lines are the line numbers, from 1, of all keys and tables of a text that has been parsed already.
+func Lines(text []byte) map[string]int {
 	at := map[string]int{}
 	arrays := map[string]int{} // how many tables each array has had
 	table := ""
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -83,6 +83,7 @@
 	out      int
 	routed   int // the router's class
 	door     doorState
+	entered  time.Duration // past the door
 	ran      bool          // an attempt may have run
 	took     time.Duration // the last attempt that was answered, or not in time
 	began    *Attempt      // the attempt whose answer is already on its way to the client
@@ -561,6 +562,7 @@
 		if q.done {
 			return
 		}
+		c.shed(q)
 		a.After = c.advise(q, a.After)
 		c.finish(q)
 		if a.Kind == choice.Refuse && q.began == nil {
--- a/internal/core/door.go
+++ b/internal/core/door.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"math"
 	"time"
 
 	"capercove/choice"
@@ -49,11 +48,7 @@
 		classes[i] = door.Class{Name: c.settings.Names[i%n] + Route(i/n).String(), Aim: class.Aim,
 			Primary: class.Read == choice.Write || class.Read == choice.FreshRead}
 	}
-	most := c.settings.MaxRetryAfter
-	if most <= 0 {
-		most = math.MaxInt32 * time.Millisecond
-	}
-	return cfg.Settings(classes, door.Settings{MaxRetryAfter: most, Bounds: door.Bounds{Queue: c.limits.DoorQueue,
+	return cfg.Settings(classes, door.Settings{MaxRetryAfter: c.settings.MaxRetryAfter, Bounds: door.Bounds{Queue: c.limits.DoorQueue,
 		Lanes: c.limits.DoorLanes, Promises: c.limits.DoorPromises, LimitMin: float64(c.limits.DoorLeast),
 		LimitMax: float64(c.limits.DoorMost)}})
 }
@@ -100,6 +95,13 @@
 	q.ran = q.ran || !status.NeverRan()
 }
 
+// shed tells the door that the router has refused a request as soon as it came: there was no room behind the door.
+func (c *Core) shed(q *Request) {
+	if q.door == doorInside && len(q.attempts) == 0 && c.clock()-q.entered <= c.limits.ShedWithin {
+		c.tell(door.Event{Kind: door.Full, Request: uint64(q.id)})
+	}
+}
+
 // advise is the time to come back for a request that the router refuses: at least what the router says, and such that the
 // door can keep it.
 func (c *Core) advise(q *Request, least time.Duration) time.Duration {
@@ -132,7 +134,7 @@
 			continue
 		}
 		if a.Kind == door.Admit {
-			q.door, q.routed = doorInside, a.Class
+			q.door, q.routed, q.entered = doorInside, a.Class, now
 			c.arrive(q, q.deadline-now)
 			continue
 		}
--- a/internal/door/config.go
+++ b/internal/door/config.go
@@ -38,7 +38,7 @@
 var clients = map[string]bool{"key": true, "address": true, "connection": true, "user": true}
 
 // Defaults are the values of keys that the file lacks.
-func Defaults() Config { return Config{Limit: "gradient", Tolerance: 1.5, Client: "key"} }
+func Defaults() Config { return Config{Limit: "gradient", Tolerance: 1.3, Client: "key"} }
 
 // Check tells what is wrong with the table.
 func (c Config) Check() error {
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -96,7 +96,7 @@
 	Classes       []Class
 	Limiter       LimiterKind
 	Tolerance     float64       // latency may be this multiple of the floor before less is let in; above 1
-	MaxRetryAfter time.Duration // no one is told to come back later than this
+	MaxRetryAfter time.Duration // no one is told to come back later than this; 0: nobody is told
 	Bounds        Bounds
 }
 
@@ -381,7 +381,7 @@
 	if o.Ran && e.class >= 0 {
 		l.ran += e.cost
 		if o.Took > 0 {
-			l.classes[e.class].sample(o.Took, d.now)
+			l.classes[e.class].sample(o.Took)
 		}
 	}
 	d.drop(at)
--- a/internal/door/lane.go
+++ b/internal/door/lane.go
@@ -202,35 +202,62 @@
 // ---- What is learned of a class at a lane
 
 const (
-	floorHalf = 15 * time.Second // the floor is the least of one to two of these
-	floorRise = 1.1              // it rises by no more than this in one
+	floorHalf  = 15 * time.Second // the floor is the least of one to two of these
+	floorRise  = 1.1              // it rises by no more than this in one
+	floorLeast = 4                // samples of a window whose mean may be the floor
 )
 
 // classStat is what the requests of a class take at a lane.
 type classStat struct {
 	asked      time.Duration // when one last came
-	floor      time.Duration // what one takes with nothing else there: the least lately
+	floor      time.Duration // what one takes in the mean with nothing else there: the least mean of a window lately
 	low        time.Duration // the least since begun
 	begun      time.Duration
+	took       float64 // seconds, of the samples since the limiter last looked
+	samples    int
 	sum, count float64 // of latency over floor; each time the limiter has looked, what was before counts less
-	samples    int     // since it last looked
 }
 
 // sample takes in one latency.
-func (s *classStat) sample(took, now time.Duration) {
+func (s *classStat) sample(took time.Duration) {
+	if s.floor > 0 { // against one that says more than all others
+		took = min(took, time.Duration(ratioMost*float64(s.floor)))
+	}
+	s.took += took.Seconds()
+	s.samples++
+}
+
+// look ends a window: it returns the latency in it as a multiple of the floor, and that of all windows lately. Single
+// latencies are no floor: how long requests take differs by itself.
+func (s *classStat) look(now time.Duration) (ratio, lasting float64) {
+	ratio = ratioPrior
+	if s.samples > 0 {
+		mean := s.took / float64(s.samples)
+		if s.samples >= floorLeast || s.floor == 0 {
+			s.rebase(time.Duration(mean*float64(time.Second)), now)
+		}
+		n := float64(s.samples)
+		ratio = (mean/s.floor.Seconds()*n + ratioPrior*priorWeight) / (n + priorWeight)
+		s.sum += mean / s.floor.Seconds() * n
+		s.count += n
+	}
+	lasting = (s.sum + ratioPrior*priorWeight) / (s.count + priorWeight)
+	s.sum, s.count, s.took, s.samples = s.sum*ratioKeep, s.count*ratioKeep, 0, 0
+	return ratio, lasting
+}
+
+// rebase moves the floor by the mean of a window.
+func (s *classStat) rebase(mean, now time.Duration) {
 	if s.floor == 0 {
-		s.floor, s.low, s.begun = took, took, now
+		s.floor, s.low, s.begun = mean, mean, now
 	}
-	s.low = min(s.low, took)
-	s.floor = min(s.floor, took)
+	s.low = min(s.low, mean)
+	s.floor = min(s.floor, mean)
 	if now-s.begun >= floorHalf {
 		// Against taking a crowd that lasts for the way things are.
 		s.floor = min(s.low, time.Duration(floorRise*float64(s.floor)))
-		s.low, s.begun = took, now
+		s.low, s.begun = mean, now
 	}
-	s.sum += min(float64(took)/float64(s.floor), ratioMost)
-	s.count++
-	s.samples++
 }
 
 // cost of a request, in seconds of work: the floor, as in a crowd the rest of the latency is the others'.
--- a/internal/door/limiter.go
+++ b/internal/door/limiter.go
@@ -17,17 +17,18 @@
 )
 
 const (
-	limitFirst  = 8.0  // before anything is known
-	samplesLess = 8    // a window with fewer goes on
-	gradientMin = 0.5  // the limit is not cut to less than this at once
-	smoothUp    = 0.05 // of a window's new limit, if it is more
-	smoothDown  = 0.7  // ... and if it is less
-	ratioMost   = 8.0  // one latency counts as no more than this multiple of the floor
-	ratioKeep   = 0.9  // of what was measured counts on in the next window
-	quickUp     = 1.5  // the limit grows so fast until it has been met for the first time
-	ratioPrior  = 1.2  // what a class is taken to have had ...
-	priorWeight = 2.0  // ... in so many samples beside those of the window
-	fullCut     = 0.9  // of the limit, after a window in which a database turned attempts away
+	limitFirst  = 8.0         // before anything is known
+	samplesLess = 8           // a window with fewer goes on
+	gradientMin = 0.5         // the limit is not cut to less than this at once
+	smoothUp    = 0.05        // of a window's new limit, if it is more
+	smoothDown  = 0.7         // ... and if it is less
+	ratioMost   = 8.0         // one latency counts as no more than this multiple of the floor
+	ratioKeep   = 0.9         // of what was measured counts on in the next window
+	quickUp     = 1.5         // the limit grows so fast until it has been met for the first time
+	ratioPrior  = 1.0         // what a class is taken to have had ...
+	priorWeight = 2.0         // ... in so many samples beside those of the window
+	cutMost     = time.Second // between two cuts, if answers take longer
+	fullCut     = 0.9         // of the limit, after a window in which a database turned attempts away
 )
 
 // limiter bounds what is inside a lane.
@@ -38,6 +39,7 @@
 	met                bool // the limit has been too high once
 	fulls              int  // since the last change
 	changed            time.Duration
+	cutAgain           time.Duration // not before
 }
 
 func newLimiter(s *Settings) limiter {
@@ -59,30 +61,42 @@
 func (l *limiter) full() { l.fulls++ }
 
 // roll moves the limit, if there is enough to go by. The class that suffers most decides: requests of 60 ms are late in
-// a crowd in which those of a second hardly show it. The limit grows only while it is in use: one that nobody has met
-// says nothing of the room.
+// a crowd in which those of a second hardly show it. What has been measured for longer keeps the limit from growing, but
+// only what is new makes it less, and no more often than it takes until a cut shows. The limit grows only while it is in
+// use: one that nobody has met says nothing of the room.
 func (l *limiter) roll(now time.Duration, used bool, classes []classStat) (moved bool) {
 	if l.changed == 0 {
 		l.changed = now
 	}
-	samples, ratio := 0, 0.0
+	samples, took := 0, 0.0
 	for i := range classes {
-		c := &classes[i]
-		samples += c.samples
-		ratio = max(ratio, (c.sum+ratioPrior*priorWeight)/(c.count+priorWeight))
+		samples += classes[i].samples
+		took += classes[i].took
 	}
-	if samples < samplesLess && (now-l.changed < windowMost || samples == 0) {
+	if samples+l.fulls < samplesLess && (now-l.changed < windowMost || samples+l.fulls == 0) {
 		return false
 	}
+	ratio, lasting := 0.0, 0.0
 	for i := range classes {
-		classes[i].sum, classes[i].count, classes[i].samples = classes[i].sum*ratioKeep, classes[i].count*ratioKeep, 0
+		fresh, long := classes[i].look(now)
+		ratio, lasting = max(ratio, fresh), max(lasting, long)
 	}
-	next := l.value
-	if !l.met && ratio < l.tolerance && l.fulls == 0 {
+	l.met = l.met || ratio >= l.tolerance || l.fulls > 0
+	if !l.met {
+		ratio = lasting
+	}
+	next := l.step(ratio)
+	switch {
+	case !l.met:
 		next = l.value * quickUp
-	} else {
-		l.met = true
-		next = l.step(ratio)
+	case next > l.value:
+		next = min(next, max(l.value, l.step(lasting)))
+	case next < l.value:
+		if now < l.cutAgain {
+			next = l.value
+		} else if samples > 0 {
+			l.cutAgain = now + min(cutMost, time.Duration(took/float64(samples)*float64(time.Second)))
+		}
 	}
 	if next < l.value || used {
 		l.value = min(max(next, l.least), l.most)
@@ -105,6 +119,7 @@
 		next *= max(gradientMin, min(1, l.tolerance/ratio))
 		if l.fulls > 0 {
 			next *= fullCut
+			break
 		}
 		next += math.Sqrt(l.value) * min(1, l.tolerance/ratio)
 		if next < l.value {
--- a/internal/door/promise.go
+++ b/internal/door/promise.go
@@ -78,6 +78,10 @@
 // and what it has promised already. No more is promised than its share of what the databases did lately; beyond
 // MaxRetryAfter nothing is, and the client is told about that long.
 func (d *Door) promise(e *entry, least time.Duration) time.Duration {
+	if d.set.MaxRetryAfter <= 0 { // nobody may be told anything
+		d.Count.Unpromised++
+		return 0
+	}
 	l := d.lanes[e.lane]
 	p := l.pair(d, int(e.tenant))
 	weight := l.weight
--- a/internal/door/world_test.go
+++ b/internal/door/world_test.go
@@ -49,7 +49,7 @@
 
 func settings(weights ...float64) Settings {
 	s := Settings{Classes: []Class{{Name: "read", Aim: 300 * ms}, {Name: "report", Aim: 5 * time.Second},
-		{Name: "write", Aim: time.Second, Primary: true}}, Tolerance: 1.5, MaxRetryAfter: 2 * time.Second,
+		{Name: "write", Aim: time.Second, Primary: true}}, Tolerance: 1.3, MaxRetryAfter: 2 * time.Second,
 		Bounds: Bounds{Queue: 512, Lanes: 8, Promises: 1024, LimitMin: 2, LimitMax: 1000}}
 	for i, w := range weights {
 		s.Tenants = append(s.Tenants, Tenant{Name: string(rune('a' + i)), Weight: w})
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -32,12 +32,13 @@
 	FlightClients int   // connections of Flight clients
 	FlightCalls   int   // Flight calls at once, each of which may hold two messages
 
-	DoorQueue    int // requests that wait at the door, over all groups
-	DoorLanes    int // primaries, and sets of replicas, that have queues of their own; further ones share
-	DoorPromises int // remembered times to come back
-	DoorLeast    int // requests that may be inside a lane, whatever the latency says
-	DoorMost     int // ... and at the most
-	DoorShown    int // tenants that operators are shown
+	DoorQueue    int           // requests that wait at the door, over all groups
+	DoorLanes    int           // primaries, and sets of replicas, that have queues of their own; further ones share
+	DoorPromises int           // remembered times to come back
+	DoorLeast    int           // requests that may be inside a lane, whatever the latency says
+	DoorMost     int           // ... and at the most
+	ShedWithin   time.Duration // a request that the router refuses so soon was shed for want of room
+	DoorShown    int           // tenants that operators are shown
 
 	Shapes     int // bytes of what is remembered of statements
 	ShapesTold int // shapes that operators are shown in one order
@@ -133,6 +134,7 @@
 		DoorPromises: 8192,
 		DoorLeast:    2,
 		DoorMost:     2000,
+		ShedWithin:   20 * time.Millisecond,
 		DoorShown:    8,
 
 		Shapes:     1 << 20,
