Hold back at the door only where tenants meet; find bad poolers on sockets; check and version

Change: a lane is limited only while tenants meet at it or one client asks for a quarter of its tenant's.

--- a/cmd/capercove/main.go
+++ b/cmd/capercove/main.go
@@ -35,6 +35,9 @@
 )
 
 func main() {
+	if status, ran := command(os.Args[1:], os.Stdout); ran {
+		os.Exit(status)
+	}
 	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
 	if err := run(log); err != nil {
 		fmt.Fprintln(os.Stderr, "capercove:", err)
--- a/cmd/capercove/main_test.go
+++ b/cmd/capercove/main_test.go
@@ -60,3 +60,30 @@
 		require.Contains(t, string(out), key)
 	}
 }
+
+// The sub-commands check files and tell the version, and anything else is a usage error; none of them serves.
+func TestCommands(t *testing.T) {
+	run := func(args ...string) (string, int) {
+		program := exec.Command(testbed.Binary(t), args...)
+		program.Dir = t.TempDir()
+		out, _ := program.CombinedOutput()
+		return string(out), program.ProcessState.ExitCode()
+	}
+	file := func(text string) string {
+		path := filepath.Join(t.TempDir(), "own.toml")
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		return path
+	}
+	out, status := run("version")
+	require.Contains(t, out, "capercove ")
+	require.Zero(t, status)
+	out, status = run("check", file("[door]\nenabled = true\n"))
+	require.Equal(t, "good\n", out)
+	require.Zero(t, status)
+	out, status = run("check", file("[door]\n\ntolerance = 0.5\n"))
+	require.Contains(t, out, "own.toml:3: door.tolerance")
+	require.Equal(t, 1, status)
+	out, status = run("odd")
+	require.Contains(t, out, "usage")
+	require.Equal(t, 2, status)
+}
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -31,6 +31,8 @@
 	patience    = 0.5                    // of the time its client waits, how long a request is held at the most
 	doubt       = 1.25                   // a wait that is this much longer than predicted is no surprise
 	earlyCharge = 1.0                    // of its cost, what one who comes back too early is charged
+	contendFor  = time.Second            // a tenant that has been here within it may be in another's way
+	loudShare   = 0.25                   // of a tenant's, that a client asks for before it can be in the others' way
 	shortLeast  = 0.01                   // short work, in places that it fills, under which none are kept for it
 	staffing    = 2.0                    // roots of their mean that are kept beyond the mean
 	asksLast    = 5 * time.Second        // a class that nobody has asked for so long does not count
--- a/internal/door/lane.go
+++ b/internal/door/lane.go
@@ -14,20 +14,21 @@
 
 // lane is where requests for the same databases meet.
 type lane struct {
-	number  int32
-	vt      float64 // virtual time: of the turn that was last given
-	pairs   []*pair // by tenant; nil: it has not been here lately
-	active  []int32 // heap of the tenants that wait
-	weight  float64 // of them together
-	queued  int
-	inside  int
-	backlog float64 // cost of what waits
-	limiter limiter
-	classes []classStat
-	longs   int     // of those inside
-	offered float64 // cost of short ones that have come in the window
-	short   float64 // ... a second, of late
-	swept   time.Duration
+	number    int32
+	vt        float64 // virtual time: of the turn that was last given
+	pairs     []*pair // by tenant; nil: it has not been here lately
+	active    []int32 // heap of the tenants that wait
+	weight    float64 // of them together
+	queued    int
+	inside    int
+	backlog   float64 // cost of what waits
+	limiter   limiter
+	classes   []classStat
+	contested bool    // somebody may be kept out by others
+	longs     int     // of those inside
+	offered   float64 // cost of short ones that have come in the window
+	short     float64 // ... a second, of late
+	swept     time.Duration
 
 	rolled     time.Duration // when the window began
 	ended, ran float64       // cost of what ended in it, and of that which ran
@@ -50,7 +51,7 @@
 		}
 		d.laneAt[key] = i
 		d.lanes = append(d.lanes, &lane{number: int32(i), pairs: make([]*pair, len(d.set.Tenants)),
-			classes: make([]classStat, len(d.set.Classes)), rolled: d.now, limiter: newLimiter(&d.set)})
+			classes: make([]classStat, len(d.set.Classes)), rolled: d.now, limiter: newLimiter(&d.set), contested: true})
 	}
 	return d.lanes[i]
 }
@@ -99,19 +100,41 @@
 	return false
 }
 
+// limit is how many may be inside. Where nobody asks for so much that others could lack it, there is nothing to hold back:
+// whatever stands behind the door has its own ways with a crowd.
+func (l *lane) limit() float64 {
+	if !l.contested {
+		return l.limiter.most
+	}
+	return l.limiter.limit()
+}
+
+// contend looks whether tenants meet here, or a client of one asks for much of what it gets.
+func (l *lane) contend(d *Door) {
+	tenants := 0
+	l.contested = false
+	for _, p := range l.pairs {
+		if p == nil || d.now-p.used > contendFor && p.queued == 0 {
+			continue
+		}
+		tenants++
+		l.contested = l.contested || tenants > 1 || p.sketch.loudest() > loudShare
+	}
+}
+
 // reserve is how many places are kept for short requests: as many as their work fills in the mean, and a multiple of
 // the square root of that more (square-root staffing), at most half of all.
 func (l *lane) reserve() int {
 	if l.short < shortLeast {
 		return 0
 	}
-	return int(math.Ceil(min(l.limiter.limit()/2, l.short+staffing*math.Sqrt(l.short))))
+	return int(math.Ceil(min(l.limit()/2, l.short+staffing*math.Sqrt(l.short))))
 }
 
 // room is how many requests of a band may go on. The short ones' reserve is theirs also while the limit falls and more
 // is inside than it: what is to become less are the long ones.
 func (l *lane) room(b band) int {
-	limit, reserve := int(l.limiter.limit()), l.reserve()
+	limit, reserve := int(l.limit()), l.reserve()
 	if b == long {
 		return min(limit-l.inside, max(1, limit-reserve)-l.longs)
 	}
@@ -156,6 +179,7 @@
 	if took < window {
 		return
 	}
+	l.contend(d)
 	seconds := took.Seconds()
 	follow(&l.short, l.offered/seconds, 1-math.Exp(-seconds/rateOver.Seconds()))
 	l.offered = 0
--- a/internal/door/sketch.go
+++ b/internal/door/sketch.go
@@ -54,6 +54,15 @@
 	return -1
 }
 
+// loudest is the share of the whole that the heaviest client asks for, for certain.
+func (s *sketch) loudest() float64 {
+	most := 0.0
+	for i := range s.hitters {
+		most = max(most, s.hitters[i].cost-s.hitters[i].over)
+	}
+	return most / max(s.total, 1e-9)
+}
+
 // halve lets what was asked for long ago count less.
 func (s *sketch) halve() {
 	s.total /= 2
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
@@ -27,6 +28,10 @@
 var dir string
 
 func TestMain(m *testing.M) {
+	if how := os.Getenv(badVariable); how != "" {
+		bad(how)
+		return
+	}
 	dir = mustDir()
 	m.Run()
 }
--- a/internal/load/postgres.go
+++ b/internal/load/postgres.go
@@ -148,6 +148,9 @@
 		reply.How, reply.Value = emulator.Served, string(r.Value)
 	}
 	if r.Fatal {
+		if r.Code == "" { // more came than the one answer
+			p.unasked(q.ID)
+		}
 		c.net.Close()
 		return reply, nil
 	}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -406,6 +406,7 @@
 		return
 	}
 	p.changes = append(p.changes, l)
+	p.fleet.Clock.At(p.fleet.Clock.Now()+toldBy, func() { p.told(p.whole()) })
 	for w := range p.watches {
 		p.told(l)
 		select {
@@ -417,6 +418,9 @@
 	}
 }
 
+// toldBy is when a change counts as told, whether the pooler asked or not.
+const toldBy = 6 * time.Second
+
 func (p *pooler) told(l discovery.List) {
 	for _, e := range l.Members {
 		p.fleet.Ledger.Told(p.fleet.Clock.Now(), p.name, e.ID, e.Phase == "SERVING")
