--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -262,7 +262,8 @@
 func (d *Door) Advise(now time.Duration, request uint64, least time.Duration) time.Duration {
 	d.now = max(now, d.now)
 	at, known := d.at[request]
-	if !known {
+	// Where nobody is held back, no queue is known that would tell when there is room: the router's own word stands.
+	if !known || !d.lanes[d.entries[at].lane].contested {
 		return least
 	}
 	return d.promise(&d.entries[at], least)
