--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -476,7 +476,7 @@
 	for i, old := range d.set.Tenants {
 		for j, t := range s.Tenants {
 			if t.Name == old.Name {
-				tenantTo[i], tenants[j] = int32(j), d.tenants[i]
+				tenantTo[i] = int32(j)
 			}
 		}
 	}
@@ -506,6 +506,11 @@
 			d.refuse(at, Gone)
 		}
 	}
+	for i, old := range d.set.Tenants { // now that nothing of theirs is counted as queued
+		if to := tenantTo[i]; s.Tenants[to].Name == old.Name {
+			tenants[to] = d.tenants[i]
+		}
+	}
 	d.set, d.tenants = s, tenants
 	for _, l := range d.lanes {
 		l.renumber(d, tenantTo, classTo)
--- a/internal/door/door_test.go
+++ b/internal/door/door_test.go
@@ -296,6 +296,11 @@
 	for _, j := range held {
 		require.Equal(t, j.offer.Class == read, j.state == refused)
 	}
+	counted := 0
+	for _, f := range w.d.Tenants() {
+		counted += int(f.Queued)
+	}
+	require.Equal(t, w.d.Queued(), counted, "the tenants' figures add up")
 	w.cores = 4
 	w.settle()
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -58,7 +58,7 @@
 type ClientKind string
 
 const (
-	ByKey        ClientKind = "key" // the session's key; for requests that have none, as ByAddress
+	ByKey        ClientKind = "key" // the session's; in classes that have none, where a key names no client, as ByConnection
 	ByAddress    ClientKind = "address"
 	ByConnection ClientKind = "connection"
 	ByUser       ClientKind = "user"
@@ -97,7 +97,7 @@
 	}
 	if in.rules != nil {
 		a.Caller.Front, a.Caller.Class = a.Front, a.Class
-		q.Tenant, q.Caller = in.rules.Of(&a.Caller), in.callerOf(a)
+		q.Tenant, q.Caller = in.rules.Of(&a.Caller), in.callerOf(a, q)
 	}
 	return q, nil
 }
@@ -109,13 +109,13 @@
 func (in *Intake) Sorts() bool { return in.rules != nil }
 
 // callerOf numbers the client of a request. It need not be told apart from others for certain.
-func (in *Intake) callerOf(a *Ask) uint64 {
+func (in *Intake) callerOf(a *Ask, q *core.Request) uint64 {
 	switch {
-	case in.client == ByKey && a.Key != 0:
-		return a.Key
+	case in.client == ByKey && q.Session != 0:
+		return q.Session
 	case in.client == ByUser:
 		return xxh3.HashString(a.Caller.User)
-	case in.client == ByConnection || !a.Caller.Address.IsValid():
+	case in.client != ByAddress && a.Caller.Connection != 0 || !a.Caller.Address.IsValid():
 		return a.Caller.Connection
 	}
 	address := a.Caller.Address.As16()
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -22,7 +22,8 @@
 	Class    *world.Class
 	Load     *world.Load
 	SQL      string
-	Write    bool // it writes, whatever its label says
+	Key      string // of the client
+	Write    bool   // it writes, whatever its label says
 	Pooler   int
 	Deadline time.Duration // the client quits then
 }
@@ -155,7 +156,7 @@
 func (d *Driver) ask(c *try) {
 	d.last++
 	d.open++
-	q := &Request{ID: fmt.Sprintf("%08x", d.last), Class: c.class, Load: c.load, Pooler: c.pooler}
+	q := &Request{ID: fmt.Sprintf("%08x", d.last), Class: c.class, Load: c.load, Key: c.key, Pooler: c.pooler}
 	q.Deadline = d.loop.Now() + time.Duration(c.patience*float64(world.Millis(c.class.DeadlineMS)))
 	q.Write = c.class.Kind == "write" || c.mislabelled
 	label := fmt.Sprintf("/* id=%s,c=%s,d=%d,cluster=%d,tenant=%s */", q.ID, c.class.Name, (q.Deadline - d.loop.Now()).Milliseconds(),
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/zeebo/xxh3"
 
 	"capercove/choice"
 	"capercove/internal/config/tables"
@@ -317,7 +318,7 @@
 		if _, waits := p.asked[q]; !waits {
 			return
 		}
-		r, _, _ := p.intake.Statement("postgres", q.SQL, tenant.Caller{}, p)
+		r, _, _ := p.intake.Statement("postgres", q.SQL, tenant.Caller{Connection: xxh3.HashString(q.Key)}, p)
 		if r == nil {
 			c.reply(load.Reply{How: emulator.Failed})
 			return
