Keep the last whole comment's place when a later one has no end

Cause: fuzzing found a span that ends before it begins: the beginning of a comment without end overwrote that of the whole one before it.

--- a/internal/statement/lexer.go
+++ b/internal/statement/lexer.go
@@ -32,6 +32,7 @@
 	s       string
 	at      int
 	comment struct{ start, end int } // the last block comment passed
+	opened  int                      // where the last one began, be it whole or not
 }
 
 func (l *lexer) peek(i int) byte {
@@ -75,7 +76,7 @@
 // next returns the next token. At the end, and behind a bad token, it returns end.
 func (l *lexer) next() token {
 	if !l.skip() {
-		return l.fail(l.comment.start)
+		return l.fail(l.opened)
 	}
 	start := l.at
 	if start >= len(l.s) {
@@ -143,7 +144,7 @@
 
 // block passes a comment that may hold others.
 func (l *lexer) block() bool {
-	l.comment.start = l.at
+	l.opened = l.at
 	depth := 1
 	for l.at += 2; depth > 0; {
 		i := strings.IndexAny(l.s[l.at:], "*/")
@@ -162,7 +163,7 @@
 			l.at++
 		}
 	}
-	l.comment.end = l.at
+	l.comment.start, l.comment.end = l.opened, l.at
 	return true
 }
 
