--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -351,7 +351,7 @@
 // admit lets an entry go on.
 func (d *Door) admit(l *lane, at int32) {
 	e := &d.entries[at]
-	e.state, e.admitted = inside, d.now
+	e.state = inside
 	l.inside++
 	l.pairs[e.tenant].inside++
 	l.longs += int(e.band)
--- a/internal/door/queue.go
+++ b/internal/door/queue.go
@@ -19,18 +19,18 @@
 
 // entry is a request that the door knows of. Entries are numbered, and linked by numbers.
 type entry struct {
-	request           uint64
-	client            uint64
-	state             state
-	promised          bool // it came back when it was told to
-	lane, flow        int32
-	tenant, class     int32 // class: none if it is no more
-	band              band
-	cost              float64
-	offered, admitted time.Duration
-	due               time.Duration // it is admitted by then, or refused
-	next, prev        int32         // in its flow by due, or among the kept; of a free one, the next free
-	newer, older      int32         // in its flow by arrival
+	request       uint64
+	client        uint64
+	state         state
+	promised      bool // it came back when it was told to
+	lane, flow    int32
+	tenant, class int32 // class: none if it is no more
+	band          band
+	cost          float64
+	offered       time.Duration
+	due           time.Duration // it is admitted by then, or refused
+	next, prev    int32         // in its flow by due, or among the kept; of a free one, the next free
+	newer, older  int32         // in its flow by arrival
 }
 
 // take returns a free entry.
--- a/internal/door/world_test.go
+++ b/internal/door/world_test.go
@@ -182,7 +182,6 @@
 type tally struct {
 	asked, served, inTime, refused int
 	work                           time.Duration // served
-	gaps                           map[time.Duration]int
 }
 
 func (y *tally) note(w *world) func(*job) {
--- a/internal/emulator/ledger.go
+++ b/internal/emulator/ledger.go
@@ -51,14 +51,13 @@
 }
 
 type history struct {
-	write     bool
-	out       int
-	ran       int
-	answers   int
-	asked     bool
-	refused   bool
-	given     bool // a database made an answer for it
-	forgotten time.Duration
+	write   bool
+	out     int
+	ran     int
+	answers int
+	asked   bool
+	refused bool
+	given   bool // a database made an answer for it
 }
 
 func newLedger(start time.Duration) *Ledger {
--- a/internal/pg/messages.go
+++ b/internal/pg/messages.go
@@ -70,6 +70,16 @@
 	return message(dst, 'S', func(b []byte) []byte { return text(text(b, name), value) })
 }
 
+// AppendValue appends a whole answer of one value, as databases give it.
+func AppendValue(dst []byte, value string) []byte {
+	dst = append(dst, "T\x00\x00\x00\x1c\x00\x01val\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x11\xff\xff\xff\xff\xff\xff\x00\x01"...)
+	dst = message(dst, 'D', func(b []byte) []byte {
+		b = binary.BigEndian.AppendUint32(append(b, 0, 1), uint32(len(value)))
+		return append(b, value...)
+	})
+	return AppendReady(message(dst, 'C', func(b []byte) []byte { return text(b, "SELECT 1") }))
+}
+
 // AppendQuery appends a simple query made of parts.
 func AppendQuery(dst []byte, parts ...string) []byte {
 	return message(dst, 'Q', func(b []byte) []byte {
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -4,7 +4,6 @@
 package standin
 
 import (
-	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -302,7 +301,7 @@
 		if r.Primary {
 			x1 = 1
 		}
-		k.send(row(nil, fmt.Sprintf("x0=%.3f,x1=%d,util=%.3f", r.Position.Seconds(), x1, r.Util)))
+		k.send(pg.AppendValue(nil, fmt.Sprintf("x0=%.3f,x1=%d,util=%.3f", r.Position.Seconds(), x1, r.Util)))
 	case pg.Harmless(c.Query):
 		k.send(pg.AppendReady(pg.AppendComplete(nil, c.Query)))
 	default:
@@ -340,7 +339,7 @@
 	b = pg.AppendParameter(b, "wal_time", strconv.FormatInt(a.Position.Milliseconds(), 10))
 	switch a.Outcome {
 	case emulator.Row:
-		b = row(b, a.Value)
+		b = pg.AppendValue(b, a.Value)
 	case emulator.Miss:
 		b = pg.AppendFailure(b, pg.CodeReadOnly, "this is not the primary")
 	case emulator.Full:
@@ -360,15 +359,6 @@
 	k.send(b)
 }
 
-// row is an answer of one value.
-func row(b []byte, value string) []byte {
-	b = append(b, "T\x00\x00\x00\x1c\x00\x01val\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x11\xff\xff\xff\xff\xff\xff\x00\x01"...)
-	b = binary.BigEndian.AppendUint32(append(b, 'D'), uint32(len(value)+10))
-	b = binary.BigEndian.AppendUint32(append(b, 0, 1), uint32(len(value)))
-	b = append(b, value...)
-	return pg.AppendReady(append(b, "C\x00\x00\x00\x0dSELECT 1\x00"...))
-}
-
 // ---- Discovery
 
 var phases = map[emulator.State]string{emulator.Serving: "SERVING", emulator.Draining: "DRAINING", emulator.Gone: "DELETED"}
--- a/internal/testbed/database.go
+++ b/internal/testbed/database.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/binary"
 	"fmt"
 	"maps"
 	"net"
@@ -71,7 +70,7 @@
 	},
 	"headless": func(good []byte) []byte { return good[bytes.IndexByte(good, 'D'):] },
 	"rowless":  func(good []byte) []byte { return good[bytes.LastIndexByte(good, 'C'):] },
-	"twice":    func(good []byte) []byte { return append(good, row(nil, "of another")...) },
+	"twice":    func(good []byte) []byte { return append(good, pg.AppendValue(nil, "of another")...) },
 	"trailing": func(good []byte) []byte { return append(good, "\x93noise"...) },
 }
 
@@ -309,7 +308,7 @@
 		if d.primary.Load() {
 			x1 = 1
 		}
-		return row(nil, fmt.Sprintf("x0=%.3f,x1=%d,util=0.1", float64(now())/1000, x1)), ""
+		return pg.AppendValue(nil, fmt.Sprintf("x0=%.3f,x1=%d,util=0.1", float64(now())/1000, x1)), ""
 	}
 	d.work(sql)
 	switch word = d.note(sql); word {
@@ -328,7 +327,7 @@
 	if word == "long" || word == "torn" {
 		value = Long
 	}
-	reply = row(d.parameters(nil), value)
+	reply = pg.AppendValue(d.parameters(nil), value)
 	if spoil := spoilt[word]; spoil != nil {
 		reply = spoil(reply)
 	}
@@ -343,15 +342,6 @@
 	return pg.AppendReady(d.parameters(pg.AppendError(nil, "ERROR", code, "told to", "")))
 }
 
-// row is an answer of one value.
-func row(b []byte, value string) []byte {
-	b = append(b, "T\x00\x00\x00\x1c\x00\x01val\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x11\xff\xff\xff\xff\xff\xff\x00\x01"...)
-	b = binary.BigEndian.AppendUint32(append(b, 'D'), uint32(len(value)+10))
-	b = binary.BigEndian.AppendUint32(append(b, 0, 1), uint32(len(value)))
-	b = append(b, value...)
-	return pg.AppendReady(append(b, "C\x00\x00\x00\x0dSELECT 1\x00"...))
-}
-
 // ---- Arrow Flight SQL
 
 func (d *Database) serveFlight() {
