Count a connection that a pooler ends without an answer as a lost request

Cause: the ledger took such an end for an answer, so a pooler that loses requests passed. Change: it is a breach, unless a pooler was killed or restarted in the run; a bad pooler that ends its connections is among the planted faults.

--- a/internal/emulator/ledger.go
+++ b/internal/emulator/ledger.go
@@ -42,6 +42,7 @@
 type Ledger struct {
 	start    time.Duration
 	requests map[string]*history
+	Excused  bool                     // a pooler was killed or restarted: connections that end without an answer are no breach any more
 	Breaches []Breach                 // the first hundred
 	Broken   int                      // all
 	Ran      int64                    // executions
@@ -149,6 +150,10 @@
 		if !h.given || len(value) < len(request) || value[:len(request)] != request {
 			l.breach(now, WrongAnswer, request, fmt.Sprintf("%.40q", value))
 		}
+	case Broken:
+		if !l.Excused {
+			l.breach(now, NoAnswer, request, "client, whose connection ended")
+		}
 	case Refused:
 		if h.refused = true; h.ran > 0 && h.write {
 			l.breach(now, RefusedRan, request, "client")
--- a/internal/lab/bad_test.go
+++ b/internal/lab/bad_test.go
@@ -130,7 +130,7 @@
 	self, err := os.Executable()
 	require.NoError(t, err)
 	for how, rule := range map[string]emulator.Rule{"none": "", "double": emulator.TwiceRun, "twice": emulator.TwoAnswers, "invent": emulator.WrongAnswer,
-		"refuse": emulator.RefusedRan, "stale": emulator.Stale, "drained": emulator.Drained} {
+		"refuse": emulator.RefusedRan, "lose": emulator.NoAnswer, "stale": emulator.Stale, "drained": emulator.Drained} {
 		w := scenario(t, "calm", 3)
 		w.Families[0].Members, w.Server.FallOver = 2, 1000
 		w.Loads = []world.Load{{Class: "profile-read", Rate: 20}, {Class: "member-write", Rate: 5}}
--- a/internal/lab/real.go
+++ b/internal/lab/real.go
@@ -192,10 +192,12 @@
 	back := func() { go p.start() }
 	switch x.Kind {
 	case "kill":
+		fleet.Ledger.Excused = true
 		p.expect(true)
 		p.signal(syscall.SIGKILL)
 		fleet.Clock.At(fleet.Clock.Now()+world.Seconds(x.For), back)
 	case "restart":
+		fleet.Ledger.Excused = true
 		p.expect(true)
 		p.signal(syscall.SIGTERM)
 		fleet.Clock.At(fleet.Clock.Now()+max(4*time.Second, world.Seconds(x.For)), back)
