Meet the event loop over UDP, so that a pooler starts where Unix sockets are refused

Each log ends with "event loop: file file+net pair: getsockname: address family not supported by protocol".

Cause: Driver.meet made an AF_UNIX socketpair to get at gnet's loop, which is handed out only with a socket. There only TCP and UDP over IPv4 are granted. Ways weighed: a TCP connection to ourselves (a second listener, or a strange client on the first one), gnet's ticker (it names no loop). A connected UDP socket on the listener's own address sends nothing and is closed at once.

Test: TestFleetTerms starts the program under a filter of system calls (IPv4 alone, no socket pair, new process, splice, sendfile or io_uring) and has it read, write, pass on a long value, take a call and a reload; without the fix it never listens.

--- a/internal/net/driver.go
+++ b/internal/net/driver.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"os"
 	"sync"
@@ -81,18 +82,12 @@
 	return d.client.Stop()
 }
 
-// meet finds the loop: gnet hands it out only with a connection.
+// meet finds the loop: gnet hands it out only with a socket. This one sends nothing and is closed at once. It is UDP over
+// the listener's own address: platforms that grant the IP families alone refuse a pair of Unix sockets.
 func (d *Driver) meet() error {
-	pair, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	c, err := net.Dial("udp", d.listener.Addr().String())
 	if err != nil {
-		return err
-	}
-	defer unix.Close(pair[0])
-	f := os.NewFile(uintptr(pair[1]), "pair")
-	defer f.Close()
-	c, err := net.FileConn(f)
-	if err != nil {
-		return err
+		return fmt.Errorf("a socket to meet the loop: %w", err)
 	}
 	_, err = d.client.Enroll(c)
 	return err
@@ -182,6 +177,7 @@
 	default:
 		d.loop = c.EventLoop()
 		close(d.started)
+		return nil, gnet.Close
 	}
 	return nil, gnet.None
 }
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -17,6 +17,24 @@
 
 const second = time.Second // long enough for any answer that comes at all
 
+func TestMain(m *testing.M) { testbed.Main(m) }
+
+// Where sockets are of the IP families alone, and new processes, splice and sendfile are refused, the program starts
+// and serves: reads, writes, long values, changes of the list, operators' calls, a new configuration.
+func TestFleetTerms(t *testing.T) {
+	b := testbed.Start(t, testbed.WithTerms)
+	c := b.Client()
+	require.True(t, c.Ask(b.Statement("read", "a", second)).Complete)
+	require.Equal(t, "from db-0", string(c.Ask(b.Statement("write", "b", second)).Value))
+	require.Equal(t, testbed.Long, string(c.Ask(b.Statement("report", "long", 3*second)).Value))
+	b.Eventually(func() bool { code, _ := b.Call("GET", "/api/ready"); return code == 200 }, "operators' calls")
+	b.Signal(syscall.SIGHUP)
+	b.Counters(func(c testbed.Counters) bool { return c.Core.Reloads == 1 })
+	require.True(t, c.Ask(b.Statement("read", "c", second)).Complete)
+	b.Signal(syscall.SIGTERM)
+	require.NoError(t, b.Wait())
+}
+
 // A read's value and statement pass unchanged but for d; a write goes to the primary.
 func TestServed(t *testing.T) {
 	b := testbed.Start(t)
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -57,6 +58,7 @@
 	Dir        string // the program's TMPDIR
 
 	name      string
+	program   string // what is started; the program itself if empty
 	config    string // path of the program's configuration
 	own       string // path of the operators' file
 	env       []string
@@ -132,7 +134,7 @@
 	b.own = write("capercove.toml", "")
 	b.config = write("config.json", "")
 	b.Configure("")
-	b.env = append(os.Environ(), "GW_CONFIG="+b.config, "GW_DISCOVERY="+b.discovery.Listener.Addr().String(), "TMPDIR="+dir,
+	b.env = append(append(os.Environ(), b.env...), "GW_CONFIG="+b.config, "GW_DISCOVERY="+b.discovery.Listener.Addr().String(), "TMPDIR="+dir,
 		"CAPERCOVE_CONFIG="+b.own)
 	if b.listener != nil {
 		b.env = append(b.env, "GW_LISTEN_FD=3")
@@ -173,7 +175,7 @@
 
 // Run starts the program, again if it has ended, and waits until it is ready.
 func (b *Bed) Run() {
-	b.process = exec.Command(Binary(b.T))
+	b.process = exec.Command(cmp.Or(b.program, Binary(b.T)))
 	b.process.Env, b.process.Stderr = append(b.env, "GW_MANAGEMENT="+b.Management), b.log
 	if b.listener != nil {
 		b.process.ExtraFiles = []*os.File{b.listener}
