Spread list calls by the number of routers, and let requests alone pay for probes

Cause: Step (ListFailed) waits 0.5 to 4 s whatever the number of routers, so 80 ask 20 times a second for ever, and a service that takes calls in turn works for callers that have given up. entry() gave each new node a probe; better() asked the first on the ring, however far behind it was known to be.

Change: the first wait after a failure is drawn from 0.1 s a router (1 s at the least, as before for three); probes are paid by requests alone, 0.1 of one and 0.3 over the routers (0.2 for three, as before); a read asks a replica that kept up when it last spoke.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -29,11 +29,13 @@
 	probeFast     = 100 * ms  // while a group's primary is unknown or a node is down
 	lagWait       = 4         // a replica is not asked again before this part of its lag has passed
 	asksMost      = 4         // probes for one read
-	probeShare    = 0.2       // probes that each request pays for
+	probeShare    = 0.1       // probes that each request pays for, beside those that reads ask for
+	probeAlone    = 0.3       // ... and this over the routers more: each must ask for itself
 	silence       = 300 * ms  // attempts out this long, and beyond their aim, with nothing heard: suspect
 	silenceBy     = 4         // ... or this multiple of its usual latency, if longer
 	restarted     = 1000 * ms // a node unreachable this long is taken to have restarted cold
-	pauseFirst    = 500 * ms  // first pause of a mute node, or after a failed list call; doubles
+	askEach       = 100 * ms  // times the routers: they spread their list calls after a failure over so long
+	pauseFirst    = 500 * ms  // first pause of a mute node, and in the mean after a failed list call; doubles
 	pauseMost     = 4 * time.Second
 	again         = 50 * ms          // before a request goes to a node, or asks for its report, once more
 	lostAfter     = 8                // times the usual latency, and the aim: what later ones overtook is lost
@@ -149,8 +151,9 @@
 // New returns a router that knows nothing but its settings.
 func New(s Settings, seed uint64) *Router {
 	r := &Router{seed: seed, rng: seed, byID: map[NodeID]*node{}, requests: map[RequestID]*request{},
-		sessions: map[uint64]time.Duration{}, extra: extraMost / 2, askWait: pauseFirst}
+		sessions: map[uint64]time.Duration{}, extra: extraMost / 2}
 	r.retune(s)
+	r.askWait = r.askFirst()
 	return r
 }
 
@@ -173,7 +176,7 @@
 		case BansChanged:
 			r.ban(e.Bans)
 		case ListFailed:
-			r.askAt, r.askWait = now+r.askWait/2+r.random(r.askWait), min(2*r.askWait, pauseMost)
+			r.askAt, r.askWait = now+r.random(r.askWait), min(2*r.askWait, max(2*pauseMost, 2*r.askFirst()))
 		}
 	}
 	for i := range events {
@@ -216,8 +219,14 @@
 
 // ---- The node list
 
+// askFirst is the time over which routers that lost the list together spread their next calls. Against a
+// service that answers in turn and is asked again before it gets to anyone: it would work for who gave up.
+func (r *Router) askFirst() time.Duration {
+	return max(2*pauseFirst, time.Duration(r.set.Routers)*askEach)
+}
+
 func (r *Router) list(entries []Node, full bool) {
-	r.askWait = pauseFirst
+	r.askWait = r.askFirst()
 	if full {
 		for _, n := range r.nodes {
 			if !slices.ContainsFunc(entries, func(e Node) bool { return e.ID == n.ID }) {
@@ -237,7 +246,6 @@
 	n := r.byID[e.ID]
 	if n == nil { // Also for one first listed as gone: the drain rule counts from that news.
 		n = &node{Node: e, d: capAll / 2, heard: r.now}
-		r.probes++
 		r.byID[e.ID] = n
 		r.nodes = append(r.nodes, n)
 		slices.SortFunc(r.nodes, func(a, b *node) int { return cmp.Compare(a.ID, b.ID) })
@@ -483,7 +491,7 @@
 	r.requests[id] = q
 	r.open = append(r.open, q)
 	r.extra = min(extraMost, r.extra+extraShare)
-	r.probes = min(float64(len(r.nodes)), r.probes+probeShare)
+	r.probes = min(float64(len(r.nodes)), r.probes+probeShare+probeAlone/float64(r.set.Routers))
 	if a.Tenant < len(r.quota) {
 		if r.quota[a.Tenant]--; r.quota[a.Tenant] < 0 {
 			q.worth *= r.set.OverQuota
@@ -745,7 +753,7 @@
 			switch fresh := r.fresh(n, q); {
 			case fresh && crowd < bound:
 				return n, true
-			case !fresh && crowd < bound && r.better(n):
+			case !fresh && crowd < bound && r.better(n, q):
 				r.doubt = n
 			case fresh && !n.unproven && (least == nil || excess < over):
 				least, over = n, excess
@@ -759,16 +767,18 @@
 }
 
 // better tells whether a replica with room but without proof is a better try than the one noted: the most
-// advanced where nodes check, elsewhere the first on the ring whose report is out or may be asked for again.
-func (r *Router) better(n *node) bool {
+// advanced where nodes check, elsewhere the first on the ring whose report is out or may be asked for again,
+// and rather one that was not too far behind when it last spoke.
+func (r *Router) better(n *node, q *request) bool {
 	if r.set.StaleReads == StaleRejected {
 		return r.doubt == nil || n.position > r.doubt.position
 	}
-	last, wait := n.probed, again
+	lag, last, wait := n.provenAt-n.position, n.probed, again
 	if !n.probing { // What it said just now will not have changed, all the less the further it was behind.
-		last, wait = max(last, n.provenAt), max(again, (n.provenAt-n.position)/lagWait)
+		last, wait = max(last, n.provenAt), max(again, lag/lagWait)
 	}
-	return r.doubt == nil && r.set.CanProbe && (r.now-last < wait) == n.probing
+	nearer := r.doubt == nil || lag+q.class.MaxAge < r.doubt.provenAt-r.doubt.position
+	return nearer && r.set.CanProbe && (r.now-last < wait) == n.probing
 }
 
 // ---- Time
@@ -794,8 +804,8 @@
 	}
 }
 
-// watch probes what is in doubt and what is merely unheard from. Requests pay for the probes, since many
-// routers that each probe every node would ask more than they send; half the savings are for the doubtful.
+// watch probes what is in doubt and what is merely unheard from. Requests alone pay for the probes, for new
+// nodes too: many routers that each probe every node would ask more than they send. Half is for the doubtful.
 func (r *Router) watch() {
 	for _, g := range r.groups {
 		g.lost = r.primary(g) == nil
