--- a/choice/choice.go
+++ b/choice/choice.go
@@ -176,7 +176,8 @@
 		case BansChanged:
 			r.ban(e.Bans)
 		case ListFailed:
-			r.askAt, r.askWait = now+r.askWait/2+r.random(r.askWait), min(2*r.askWait, max(pauseMost, 2*r.askFirst()))
+			r.askAt = now + r.askWait/2 + r.random(r.askWait)
+			r.askWait = min(2*r.askWait, max(pauseMost, 2*r.askFirst()))
 		}
 	}
 	for i := range events {
@@ -219,8 +220,8 @@
 
 // ---- The node list
 
-// askFirst is the time over which routers that lost the list together spread their next calls, after half of it
-// without any. Against a service that answers in turn: it would never get through with those that gave up.
+// askFirst is the time over which routers that lost the list together spread their next calls, after half of
+// it without any. Against a service that answers in turn: it would never get through with those that gave up.
 func (r *Router) askFirst() time.Duration {
 	return max(pauseFirst, time.Duration(r.set.Routers)*askEach)
 }
@@ -376,8 +377,7 @@
 // book notes a change of what is in flight at a node.
 func (r *Router) book(n *node, change int) {
 	over := min(presumeOver, time.Duration(r.set.Routers)*presumeEach)
-	weight := 1 - math.Exp(-float64(r.now-n.meanAt)/float64(over))
-	n.mean += weight * (float64(n.inFlight) - n.mean)
+	n.mean += (float64(n.inFlight) - n.mean) * (1 - math.Exp(-float64(r.now-n.meanAt)/float64(over)))
 	n.meanAt = r.now
 	n.inFlight += change
 }
