Ask a replica that is behind again later, the more poolers there are

Cause: better() let a replica be asked again after a quarter of its lag, a time tuned for three routers whose answers tell of every node anyway; each of 80 asks for itself.

Change: the wait is the lag times routers / (routers + 12): a fifth of it for 3, a quarter for 4, as it was, 0.87 for 80.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -27,7 +27,7 @@
 	smooth        = 0.1       // weight of a new sample in the running means
 	probeEvery    = 1000 * ms // for replicas unheard from or off the ring
 	probeFast     = 100 * ms  // while a group's primary is unknown or a node is down
-	lagWait       = 4         // a replica is not asked again before this part of its lag has passed
+	lagWait       = 12        // a replica is asked again after its lag, times the routers over so many more
 	asksMost      = 4         // probes for one read
 	probeShare    = 0.1       // probes that each request pays for, beside those that reads ask for
 	probeAlone    = 0.3       // ... and this over the routers more: each must ask for itself
@@ -773,9 +773,9 @@
 	if r.set.StaleReads == StaleRejected {
 		return r.doubt == nil || n.position > r.doubt.position
 	}
-	lag, last, wait := n.provenAt-n.position, n.probed, again
+	lag, last, wait, all := n.provenAt-n.position, n.probed, again, time.Duration(r.set.Routers)
 	if !n.probing { // What it said just now will not have changed, all the less the further it was behind.
-		last, wait = max(last, n.provenAt), max(again, lag/lagWait)
+		last, wait = max(last, n.provenAt), max(again, lag*all/(all+lagWait))
 	}
 	nearer := r.doubt == nil || lag+q.class.MaxAge < r.doubt.provenAt-r.doubt.position
 	return nearer && r.set.CanProbe && (r.now-last < wait) == n.probing
--- a/choice/scale_test.go
+++ b/choice/scale_test.go
@@ -286,13 +286,17 @@
 	}
 }
 
-// A replica far behind is not asked again before part of its lag has passed: it cannot have caught up.
+// A replica far behind is not asked again before part of its lag has passed: it cannot have caught up. Of many routers
+// none asks before it may well have: they learn the same, each at its own price.
 func TestNoAskWhileFarBehind(t *testing.T) {
 	for _, c := range []struct {
-		after time.Duration
-		asks  bool
-	}{{200 * ms, false}, {1500 * ms, true}} {
-		h := newHarness(t, settings())
+		routers int
+		after   time.Duration
+		asks    bool
+	}{{3, 200 * ms, false}, {3, 1500 * ms, true}, {80, 1500 * ms, false}, {80, 4 * time.Second, true}} {
+		s := settings()
+		s.Routers = c.routers
+		h := newHarness(t, s)
 		h.now += 10 * time.Second
 		h.probed(2, Replica, h.now-4*time.Second)
 		h.probed(3, Replica, h.now-4*time.Second)
@@ -304,7 +308,7 @@
 			asked = asked || a.Kind == Probe
 		}
 		if asked != c.asks {
-			t.Errorf("%v after the word of replicas 4 s behind: asked %v", c.after, asked)
+			t.Errorf("%d routers, %v after the word of replicas 4 s behind: asked %v", c.routers, c.after, asked)
 		}
 	}
 }
