--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 .PHONY: build test lint run oracle demo
 
 build: # what the platform builds
-	mkdir -p bin && CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/...
+	@build=$$(sed -n 's/^build = "\(.*\)"  *#.*/\1/p' deploy/balancer.toml) && [ -n "$$build" ] && echo "$$build" && sh -c "$$build"
 
 test: # all tests; those of internal/net, internal/flight and so on start the program
 	go test -count=1 ./...
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -20,7 +20,7 @@
 func TestMain(m *testing.M) { testbed.Main(m) }
 
 // Where sockets are of the IP families alone, and new processes, splice and sendfile are refused, the program starts
-// and serves: reads, writes, long values, changes of the list, operators' calls, a new configuration.
+// and serves: reads, writes, long values, operators' calls, a new configuration, its end.
 func TestFleetTerms(t *testing.T) {
 	b := testbed.Start(t, testbed.WithTerms)
 	c := b.Client()
