End the wait for a lost list within the 6 s after which it binds a pooler unheard

Cause: askFirst() in choice.go was 0.1 s a router without an end, so 300 wait 15 to 45 s and twice that after a failure; the protocol takes all that discovery has to tell for told after 6 s, and the settings name 10 s (askWithinMs). Ruled out: a discovery that cannot take them.

Change: askOver() ends the wait at two thirds of ListBinds, in the mean: 6 s, or askWithinMs if less (4 s in the mean, 2 to 6 s). The number that spreads the calls is drawn from seed and time.

--- a/choice/api.go
+++ b/choice/api.go
@@ -71,9 +71,10 @@
 	Quotas        []float64 // requests a second for each tenant, over all routers; empty without tenants
 	OverQuota     float64   // worth of a request over its tenant's quota, as a share of its class's
 	StaleReads    StaleReads
-	ListRole      bool // the list hints at who is primary: late, or as it was when the list began
-	KeepSessions  bool // a session's reads must see its writes answered here; tokens are not carried
-	ListOnRequest bool // node lists arrive only when asked for
+	ListRole      bool          // the list hints at who is primary: late, or as it was when the list began
+	KeepSessions  bool          // a session's reads must see its writes answered here; tokens are not carried
+	ListOnRequest bool          // node lists arrive only when asked for
+	ListBinds     time.Duration // what a list has to tell binds so long after it came to be, heard or not; 0: once heard
 	MaxAttempts   int
 	MaxRetryAfter time.Duration
 	CanCancel     bool
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -125,7 +125,7 @@
 // Router makes the decisions of one router.
 type Router struct {
 	set                Settings
-	seed, rng          uint64
+	seed               uint64
 	now                time.Duration
 	nodes              []*node // by ID
 	byID               map[NodeID]*node
@@ -150,10 +150,10 @@
 
 // New returns a router that knows nothing but its settings.
 func New(s Settings, seed uint64) *Router {
-	r := &Router{seed: seed, rng: seed, byID: map[NodeID]*node{}, requests: map[RequestID]*request{},
+	r := &Router{seed: seed, byID: map[NodeID]*node{}, requests: map[RequestID]*request{},
 		sessions: map[uint64]time.Duration{}, extra: extraMost / 2}
 	r.retune(s)
-	r.askWait = r.askFirst()
+	r.askWait = r.askOver(time.Duration(s.Routers) * askEach)
 	return r
 }
 
@@ -176,8 +176,8 @@
 		case BansChanged:
 			r.ban(e.Bans)
 		case ListFailed:
-			r.askAt = now + r.askWait/2 + r.random(r.askWait)
-			r.askWait = min(2*r.askWait, max(pauseMost, 2*r.askFirst()))
+			r.askAt = now + r.askWait/2 + time.Duration(mix(r.seed^uint64(now))%uint64(r.askWait))
+			r.askWait = r.askOver(2 * r.askWait)
 		}
 	}
 	for i := range events {
@@ -205,12 +205,6 @@
 
 func (r *Router) emit(a Action) { r.out = append(r.out, a) }
 
-// random returns a time in [0, most).
-func (r *Router) random(most time.Duration) time.Duration {
-	r.rng += 0x9e3779b97f4a7c15
-	return time.Duration(mix(r.rng) % uint64(most))
-}
-
 // mix is the finisher of splitmix64.
 func mix(x uint64) uint64 {
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
@@ -220,14 +214,15 @@
 
 // ---- The node list
 
-// askFirst is the time over which routers that lost the list together spread their next calls, after half of
-// it without any. Against a service that answers in turn: it would never get through with those that gave up.
-func (r *Router) askFirst() time.Duration {
-	return max(pauseFirst, time.Duration(r.set.Routers)*askEach)
+// askOver bounds the time over which routers that lost the list together spread their next calls, after half of
+// it without any. Against a service that answers in turn: it would never get through with those that gave up. It has
+// an end, as what the list has to tell binds even those that wait: each has asked again by then.
+func (r *Router) askOver(spread time.Duration) time.Duration {
+	return min(max(pauseFirst, spread), cmp.Or(r.set.ListBinds*2/3, pauseMost))
 }
 
 func (r *Router) list(entries []Node, full bool) {
-	r.askWait = r.askFirst()
+	r.askWait = r.askOver(time.Duration(r.set.Routers) * askEach)
 	if full {
 		for _, n := range r.nodes {
 			if !slices.ContainsFunc(entries, func(e Node) bool { return e.ID == n.ID }) {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -50,6 +50,7 @@
 		Keepalive     millis `json:"keepaliveMs"`
 	} `json:"allowed"`
 	Rules struct {
+		AskWithin       millis  `json:"askWithinMs"`
 		ColdFrom        float64 `json:"coldFrom"`
 		Cold            millis  `json:"coldMs"`
 		DrainGrace      millis  `json:"drainGraceMs"`
@@ -59,6 +60,9 @@
 	} `json:"rules"`
 }
 
+// listBinds is the protocol's own bound: what discovery has to tell counts as told by then, whether it arrived or not.
+const listBinds = 6 * time.Second
+
 type millis float64
 
 func (m millis) time() time.Duration { return ms(float64(m)) }
@@ -99,6 +103,10 @@
 		return choice.Settings{}, units{}, err
 	}
 	var err error
+	binds := listBinds
+	if w := s.Rules.AskWithin.time(); w > 0 {
+		binds = min(binds, w)
+	}
 	c := choice.Settings{
 		Routers: s.Routers, OverQuota: s.OverShare,
 		StaleReads: pick("behind", s.Extra.Behind, map[string]choice.StaleReads{
@@ -109,6 +117,7 @@
 			"brought": false, "kept": true}, &err),
 		ListOnRequest: pick("membershipMode", s.Membership, map[string]bool{
 			"pushed": false, "on_request": true}, &err),
+		ListBinds:   binds,
 		MaxAttempts: s.Allowed.SendCap, MaxRetryAfter: s.Allowed.MaxRetryAfter.time(),
 		CanCancel: s.Allowed.Cancel, CanProbe: s.Allowed.Probes, CanHedge: s.Allowed.SecondCopies,
 		DrainGrace: s.Rules.DrainGrace.time(), DrainOnly: s.Rules.DrainBindsAlone,
