--- a/choice/choice.go
+++ b/choice/choice.go
@@ -214,9 +214,9 @@
 
 // ---- The node list
 
-// askOver bounds the time over which routers that lost the list together spread their next calls, after half of
-// it without any. Against a service that answers in turn: it would never get through with those that gave up. It has
-// an end, as what the list has to tell binds even those that wait: each has asked again by then.
+// askOver bounds the time over which routers that lost the list together spread their next calls, after half
+// of it without any. Against a service that answers in turn: it would never get through with those that gave
+// up. It has an end, as what the list has to tell binds those that wait, too: each has asked by then.
 func (r *Router) askOver(spread time.Duration) time.Duration {
 	return min(max(pauseFirst, spread), cmp.Or(r.set.ListBinds*2/3, pauseMost))
 }
