Let the event loop sleep until its next timer instead of waking every 5 ms

Seen: 300 idle poolers wake 60,000 times a second (a 5 ms time.Tick in driver.go) beside the router's timer of 10 ms, and each wake is a write to an eventfd, an epoll_wait and a turn of the loop. Cause: Run() ticks whether or not the wheel holds anything.

Change: the wheel tells when its earliest timer is due (Alarm), and one timer of the runtime is set for that; the router asks to be woken every 10 ms only while a request is open, else every 50 ms (the wait before anything is asked again). The stall log tells how late a timer came. Ends of a request that was already over go the one way, end().

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -195,10 +195,16 @@
 	for _, q := range place {
 		r.place(q)
 	}
-	if now >= r.nextTick {
-		r.tick()
-		r.nextTick = now + tickEvery
-		r.emit(Action{Kind: SetTimer, After: tickEvery})
+	rest := again // With nothing open there is no hurry: many idle routers must not wake for nothing.
+	if len(r.open) > 0 {
+		rest = tickEvery
+	}
+	if due := now >= r.nextTick; due || r.nextTick > now+rest {
+		if due {
+			r.tick()
+		}
+		r.nextTick = now + rest
+		r.emit(Action{Kind: SetTimer, After: rest})
 	}
 	return r.out
 }
@@ -547,13 +553,7 @@
 	if q.class.Read == Write && o.Status == OK && q.Session != 0 {
 		r.sessions[q.Session] = max(r.sessions[q.Session], o.Note.Position)
 	}
-	if q.done {
-		if q.out == 0 {
-			delete(r.requests, id)
-		}
-		return nil
-	}
-	if o.Final {
+	if q.done || o.Final {
 		r.end(q)
 		return nil
 	}
--- a/choice/scale_test.go
+++ b/choice/scale_test.go
@@ -380,3 +380,35 @@
 		}
 	}
 }
+
+// A router with nothing to place looks round a few times a second, not a hundred: so many of them, idle, would wake their
+// machine for nothing. With a request open it is back at once.
+func TestIdleRouterRests(t *testing.T) {
+	h := newHarness(t, settings())
+	h.now += time.Second
+	due := h.now
+	step := func(e Event) {
+		for _, a := range h.r.Step(h.now, []Event{e}, nil) {
+			if a.Kind == SetTimer {
+				due = h.now + a.After
+			}
+		}
+	}
+	wakes := func() (n int) {
+		for end := h.now + time.Second; h.now < end; h.now += ms {
+			if h.now >= due {
+				step(Event{Kind: TimerFired})
+				n++
+			}
+		}
+		return n
+	}
+	if n := wakes(); n > int(time.Second/again)+1 {
+		t.Errorf("%d wakes in an idle second", n)
+	}
+	h.r.byID[1].role = Replica // nobody leads
+	step(Event{Kind: RequestArrived, Request: 7, Arrival: Arrival{Class: classWrite, Expires: time.Minute}})
+	if n := wakes(); n < int(time.Second/tickEvery)-1 {
+		t.Errorf("%d wakes in a second with a request open", n)
+	}
+}
--- a/internal/net/driver.go
+++ b/internal/net/driver.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"os"
 	"sync"
@@ -35,9 +36,10 @@
 	loop      gnet.EventLoop
 	started   chan struct{}
 	stopped   chan struct{}
+	alarm     *time.Timer // set for the wheel's next timer
 	ticking   atomic.Bool
-	ticked    time.Duration // the last tick
-	used      time.Duration // CPU time by then
+	due       time.Duration // when the next tick is to come
+	used      time.Duration // CPU time at the last one
 	accepting sync.WaitGroup
 }
 
@@ -59,6 +61,12 @@
 
 // Run calls start on the loop, and serves until Stop.
 func (d *Driver) Run(start func()) (err error) {
+	d.alarm = time.AfterFunc(math.MaxInt64, func() {
+		if d.ticking.CompareAndSwap(false, true) { // Against ticks piling up behind a busy loop.
+			d.Do(d.tick)
+		}
+	})
+	defer d.alarm.Stop()
 	if d.client, err = gnet.NewClient(d, gnet.WithNumEventLoop(1), gnet.WithTCPNoDelay(gnet.TCPNoDelay),
 		gnet.WithSocketSendBuffer(d.limits.SocketBytes), gnet.WithSocketRecvBuffer(d.limits.SocketBytes),
 		gnet.WithLogger(quiet{d.log})); err != nil {
@@ -71,13 +79,7 @@
 		return err
 	}
 	d.Do(start)
-	go func() {
-		for range time.Tick(d.limits.Tick) {
-			if d.ticking.CompareAndSwap(false, true) { // Against ticks piling up behind a busy loop.
-				d.Do(d.tick)
-			}
-		}
-	}()
+	d.Do(d.wind)
 	<-d.stopped
 	return d.client.Stop()
 }
@@ -93,6 +95,15 @@
 	return err
 }
 
+// wind lets the wheel's timers come. Against a tick every few milliseconds in each of many idle poolers: the loop sleeps
+// until the earliest timer.
+func (d *Driver) wind() {
+	d.Core.Wheel.Alarm(func(at time.Duration) {
+		d.due = at
+		d.alarm.Reset(max(at-d.Core.Now(), 0))
+	})
+}
+
 // Accept begins to take clients in.
 func (d *Driver) Accept() {
 	for range d.limits.Accepting { // Each waits for the loop: a few at once, as each holds two descriptors.
@@ -132,10 +143,10 @@
 		return
 	}
 	now, cpu := d.Core.Now(), time.Duration(use.Utime.Nano()+use.Stime.Nano())
-	if gap := now - d.ticked; d.ticked > 0 && gap > d.limits.StoodStill {
-		d.log.Warn().Int64("ms", gap.Milliseconds()).Int64("cpu_ms", (cpu - d.used).Milliseconds()).Msg("the event loop stood still")
+	if late := now - d.due; d.due > 0 && late > d.limits.StoodStill {
+		d.log.Warn().Int64("ms", late.Milliseconds()).Int64("cpu_ms", (cpu - d.used).Milliseconds()).Msg("the event loop stood still")
 	}
-	d.ticked, d.used = now, cpu
+	d.used = cpu
 }
 
 func (d *Driver) tick() {
--- a/internal/wheel/wheel.go
+++ b/internal/wheel/wheel.go
@@ -1,7 +1,10 @@
 // Package wheel is a hashed timer wheel with coarse ticks. One goroutine owns a wheel.
 package wheel
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Timer is a scheduled call.
 type Timer struct {
@@ -15,10 +18,15 @@
 	slots []Timer // heads of circular lists
 	every time.Duration
 	done  int64 // the last tick that was fired
+	due   int64 // the tick that the alarm is set for; never: none is
+	alarm func(at time.Duration)
 }
 
+// never is later than any tick.
+const never = math.MaxInt64
+
 func New(every time.Duration, slots int, now time.Duration) *Wheel {
-	w := &Wheel{slots: make([]Timer, slots), every: every, done: int64(now / every)}
+	w := &Wheel{slots: make([]Timer, slots), every: every, done: int64(now / every), due: never}
 	for i := range w.slots {
 		head := &w.slots[i]
 		head.prev, head.next = head, head
@@ -32,9 +40,44 @@
 	head := &w.slots[t.tick%int64(len(w.slots))]
 	t.prev, t.next = head.prev, head
 	head.prev.next, head.prev = t, t
+	if t.tick < w.due {
+		w.ring(t.tick)
+	}
 	return t
 }
 
+// Alarm names who is told when the next Advance is due, at once and from then on whenever that changes, so that an idle
+// program sleeps until something is to be done. It is told a time no later than the earliest timer's; an alarm for a timer
+// that has been stopped meanwhile is not taken back.
+func (w *Wheel) Alarm(alarm func(at time.Duration)) {
+	w.alarm = alarm
+	w.wind()
+}
+
+func (w *Wheel) ring(tick int64) {
+	w.due = tick
+	if w.alarm != nil {
+		w.alarm(time.Duration(tick) * w.every)
+	}
+}
+
+// wind sets the alarm for the earliest timer, or for the end of this turn of the wheel if there is none in it.
+func (w *Wheel) wind() {
+	for tick := w.done + 1; ; tick++ {
+		head := &w.slots[tick%int64(len(w.slots))]
+		for t := head.next; t != head; t = t.next {
+			if t.tick <= tick {
+				w.ring(tick)
+				return
+			}
+		}
+		if tick >= w.done+int64(len(w.slots)) {
+			w.ring(tick)
+			return
+		}
+	}
+}
+
 // Stop takes a timer back, also one that is due in the Advance that runs. Stopping one twice, one that has fired,
 // or nil does nothing.
 func (t *Timer) Stop() {
@@ -57,6 +100,7 @@
 	// After a long pause each slot is looked at once: a timer fires if its tick has passed.
 	from := max(w.done+1, last-int64(len(w.slots))+1)
 	w.done = max(w.done, last)
+	w.due = 0 // what is set meanwhile is seen by wind
 	for tick := from; tick <= last; tick++ {
 		head := &w.slots[tick%int64(len(w.slots))]
 		var due []*Timer
@@ -75,4 +119,5 @@
 			}
 		}
 	}
+	w.wind()
 }
