Deal out cold sends in two turns a window that begin apart, so that sparse requests use them

Cause: coldRoom() in choice.go draws a router's chance to send a cold node one request anew four times in the fall window of 2 s. A router of 300 sees 0.7 requests a second for a group, so three of four chances pass before there is a request.

Change: two turns, and they begin at another time at each router, else all would send as a turn begins.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -43,7 +43,7 @@
 	extraMost     = 20.0             // saved up
 	coldSafety    = 0.5              // share of the cold budget that is used
 	coldLeast     = 3.0              // sends to a cold node in a window that all routers together always have
-	coldTurns     = 4                // turns of a window in which chance deals out parts of one send
+	coldTurns     = 2                // turns of a window in which chance deals out parts of one send
 	spillShare    = 2.0              // of the primary's bound: reads that a replica could take stop here
 	patienceLeast = 0.3              // of what is left of the aim: longer waits are not worth a send
 	patienceWorth = 0.3              // ... and this much more for the dearest class
@@ -371,7 +371,8 @@
 	}
 	budget := coldSafety * r.set.FallMultiple * warmth * r.rate * r.set.FallWindow.Seconds()
 	part := max(coldLeast/float64(r.set.Routers), budget) - float64(len(n.sends))
-	turn := mix(r.seed ^ mix(uint64(n.ID)^uint64(coldTurns*r.now/r.set.FallWindow)))
+	own := mix(r.seed ^ uint64(n.ID)) // Turns begin at another time at each router, not all at once.
+	turn := mix(own ^ uint64(coldTurns*(r.now+time.Duration(own%uint64(r.set.FallWindow)))/r.set.FallWindow))
 	return part >= 1 || coldTurns*float64(turn>>11)/(1<<53) < part
 }
 
--- a/choice/scale_test.go
+++ b/choice/scale_test.go
@@ -1,6 +1,7 @@
 package choice
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 )
@@ -52,6 +53,47 @@
 	}
 }
 
+// Requests come to each of many routers now and then only. What a cold node bears is used all the same: the chance to send
+// it one must not be over before there is a request to send, nor may all routers have it at once.
+func TestColdBudgetIsUsedBySparseRequests(t *testing.T) {
+	s := settings()
+	s.Routers = 300
+	const perNode, asked = 60.0, 0.7 // completions a second on a warm node; requests a second at each router
+	var routers []*Router
+	for i := range s.Routers {
+		r := New(s, uint64(i)*7919+1)
+		r.now = start
+		r.list([]Node{{ID: 1, State: Ready, Started: start - ms}}, true)
+		r.rate = perNode / float64(s.Routers)
+		routers = append(routers, r)
+	}
+	rng := rand.New(rand.NewPCG(1, 2))
+	var sends []int // by 10 ms
+	sent, most := 0, 0.0
+	steps := int(s.ColdTime * 4 / 5 / tickEvery)
+	for step := range steps {
+		sends = append(sends, 0)
+		for _, r := range routers {
+			r.now = start + time.Duration(step)*tickEvery
+			if n := r.byID[1]; rng.Float64() < asked*tickEvery.Seconds() && r.coldRoom(n) {
+				n.sends = append(n.sends, r.now)
+				sends[step]++
+				sent++
+			}
+		}
+		warmth := routers[0].warmth(routers[0].byID[1])
+		inWindow := 0
+		for _, n := range sends[max(0, step-int(s.FallWindow/tickEvery)):] {
+			inWindow += n
+		}
+		most = max(most, float64(inWindow)/(s.FallMultiple*warmth*perNode*s.FallWindow.Seconds()))
+	}
+	mean := float64(s.ColdShare+1) / 2 * perNode * s.FallMultiple * float64(steps) * tickEvery.Seconds()
+	if used := float64(sent) / mean; used < 0.2 || most > 0.8 {
+		t.Errorf("%.2f of what the node bears is sent, %.2f of it in the worst window", used, most)
+	}
+}
+
 // Routers that see little traffic must not probe more than they send: 90 of them, ten requests a second each, stay
 // within the share that requests pay for, on sound and on dead nodes. A start or a new list gives no more.
 func TestProbesOfAllRoutersTogether(t *testing.T) {
