Listen only once the program is ready, so that no request waits unread past its time

"request got no final answer in its time (0 attempts made)", first at 13.89 s. 206 poolers are killed at 11.62 s and log "starting" at 13.29 to 13.31 s; "restarts took" up to 1.1 s. No pooler logs "no answer by the deadline", so the core never had these requests. Ruled out: CPU (0.04 s in the busiest second), the wheel's alarm (the untouched program has none).

Cause: run() listens at its start, but Driver.Accept begins when the core is ready, up to ReadyWait (1 s) later. A front that has not noticed the death yet hands on connections as soon as the system takes them; the requests wait unread, past their time.

Change: the listener (internal/net/late.go) listens from the first Accept on; before, connections are refused, and clients go elsewhere. An inherited one is as it was. An address that is taken ends the program then.

--- a/internal/net/driver.go
+++ b/internal/net/driver.go
@@ -11,6 +11,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -48,11 +49,12 @@
 	return &Driver{limits: l, log: log, listener: listener, started: make(chan struct{}), stopped: make(chan struct{})}
 }
 
-// Listen takes over the listening socket that is inherited as a descriptor, or else listens on the address. An
-// inherited one is others' too: it is neither bound again nor shut down, and closing it closes only this copy.
+// Listen takes over the listening socket that is inherited as a descriptor, or else listens on the address from the
+// first Accept on. An inherited one is others' too: it is neither bound again nor shut down, and closing it
+// closes only this copy.
 func Listen(fd int, addr string) (net.Listener, error) {
 	if fd == 0 {
-		return net.Listen("tcp", addr)
+		return listenLate(addr)
 	}
 	f := os.NewFile(uintptr(fd), "listener")
 	defer f.Close()
@@ -115,6 +117,8 @@
 				switch {
 				case errors.Is(err, net.ErrClosed):
 					return
+				case errors.Is(err, syscall.EADDRINUSE), errors.Is(err, syscall.EADDRNOTAVAIL), errors.Is(err, syscall.EACCES):
+					d.log.Fatal().Err(err).Msg("listen")
 				case err != nil: // Against a busy loop while descriptors are short.
 					d.log.Warn().Err(err).Msg("accept")
 					time.Sleep(d.limits.Tick)
--- /dev/null
+++ b/internal/net/late.go
@@ -0,0 +1,54 @@
+package net
+
+import (
+	"net"
+	"sync"
+)
+
+// late listens from the first Accept on. Against requests that the system takes while the program cannot serve yet: they would
+// get no answer in time, where a client that finds nobody listening goes elsewhere.
+type late struct {
+	addr *net.TCPAddr
+
+	mu     sync.Mutex // guards all below
+	inner  net.Listener
+	failed error
+}
+
+func listenLate(addr string) (net.Listener, error) {
+	to, err := net.ResolveTCPAddr("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return &late{addr: to}, nil
+}
+
+// listening returns the listener, which it makes the first time.
+func (l *late) listening() (net.Listener, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.inner == nil && l.failed == nil {
+		l.inner, l.failed = net.ListenTCP("tcp", l.addr)
+	}
+	return l.inner, l.failed
+}
+
+func (l *late) Accept() (net.Conn, error) {
+	inner, err := l.listening()
+	if err != nil {
+		return nil, err
+	}
+	return inner.Accept()
+}
+
+func (l *late) Close() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.inner != nil {
+		return l.inner.Close()
+	}
+	l.failed = net.ErrClosed
+	return nil
+}
+
+func (l *late) Addr() net.Addr { return l.addr }
