--- a/internal/net/late.go
+++ b/internal/net/late.go
@@ -12,7 +12,7 @@
 
 	mu     sync.Mutex // guards all below
 	inner  net.Listener
-	failed error
+	closed bool
 }
 
 func listenLate(addr string) (net.Listener, error) {
@@ -23,14 +23,23 @@
 	return &late{addr: to}, nil
 }
 
-// listening returns the listener, which it makes the first time.
+// listening returns the listener, which it makes the first time. One that cannot be made, as while descriptors are short, is
+// tried again by the next Accept.
 func (l *late) listening() (net.Listener, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.inner == nil && l.failed == nil {
-		l.inner, l.failed = net.ListenTCP("tcp", l.addr)
+	if l.inner != nil {
+		return l.inner, nil
+	}
+	if l.closed {
+		return nil, net.ErrClosed
+	}
+	inner, err := net.ListenTCP("tcp", l.addr)
+	if err != nil {
+		return nil, err
 	}
-	return l.inner, l.failed
+	l.inner = inner
+	return inner, nil
 }
 
 func (l *late) Accept() (net.Conn, error) {
@@ -47,7 +56,7 @@
 	if l.inner != nil {
 		return l.inner.Close()
 	}
-	l.failed = net.ErrClosed
+	l.closed = true
 	return nil
 }
 
--- a/internal/net/late_test.go
+++ b/internal/net/late_test.go
@@ -45,6 +45,16 @@
 	require.NoError(t, l.Close())
 	_, err = l.Accept()
 	require.ErrorIs(t, err, net.ErrClosed)
+
+	go taken.Accept() // what kept it from listening is over
+	require.Eventually(t, func() bool {
+		c, err := net.Dial("tcp", addr)
+		if err == nil {
+			c.Close()
+		}
+		return err == nil
+	}, testbed.Patience, testbed.Patience/1000)
+	require.NoError(t, taken.Close())
 }
 
 // One that is closed before it has listened never does.
