Let a cold database's own answers pay for what it is sent

Traced by a counter of reasons at giveUp, printed each half second with the state of each node: in 12 to 19 s 50 to 60 writes a half second and pooler are 'held to half their time, no attempt made' though the primary is known, up and has 0 to 7 requests in flight, and 150 to 300 reads are shed because it may not be sent them. The line at fault: coldRoom's budget counted 'what it completes on a warm node', which is traffic, not capacity: the only warm replicas were one at its bound and one slow one (130 ms), and a process that has just been started knows none at all, so that 1.5 sends a second remain for a primary on which everything hangs.

Change: what the cold node itself answered in the last fall window counts as its capacity where that is more.

Test: TestColdBudget, 3 sends instead of 40 without the change.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -76,7 +76,7 @@
 	heard, answered          time.Duration // last answer or probe; last answer to a request
 	overtook                 time.Duration // latest send of a request that was answered
 	probed                   time.Duration
-	sends                    []time.Duration // while cold, the sends of the last fall window
+	sends, answers           []time.Duration // while cold, of the last fall window
 	latency                  float64         // running mean of its answers, in ns
 	load                     float64         // running mean of crowd at the sends of those answers
 
@@ -358,18 +358,19 @@
 }
 
 // coldRoom keeps a cold node from being pushed over: its sends in a fall window stay in this router's part of
-// multiple x present capacity x window; the capacity is what it completes on a warm node. Of a part under one
-// send chance makes a whole one, drawn anew each turn, so that all routers together keep the budget.
+// multiple x present capacity x window. The capacity is what it completes on a warm node, or what the cold
+// one answered in the last window, if more: it can surely do that, however little is asked elsewhere. Of a
+// part under one send chance makes a whole one, drawn anew each turn, so that all together keep the budget.
 func (r *Router) coldRoom(n *node) bool {
 	warmth := r.warmth(n)
 	if warmth == 1 {
-		n.sends = n.sends[:0]
+		n.sends, n.answers = n.sends[:0], n.answers[:0]
 		return true
 	}
-	for len(n.sends) > 0 && r.now-n.sends[0] > r.set.FallWindow {
-		n.sends = n.sends[1:]
-	}
-	budget := coldSafety * r.set.FallMultiple * warmth * r.rate * r.set.FallWindow.Seconds()
+	old := func(at time.Duration) bool { return r.now-at > r.set.FallWindow }
+	n.sends, n.answers = slices.DeleteFunc(n.sends, old), slices.DeleteFunc(n.answers, old)
+	shown := max(warmth*r.rate*r.set.FallWindow.Seconds(), float64(len(n.answers)))
+	budget := coldSafety * r.set.FallMultiple * shown
 	part := max(coldLeast/float64(r.set.Routers), budget) - float64(len(n.sends))
 	own := mix(r.seed ^ uint64(n.ID)) // Turns begin at another time at each router, not all at once.
 	turn := mix(own ^ uint64(coldTurns*(r.now+time.Duration(own%uint64(r.set.FallWindow)))/r.set.FallWindow))
@@ -591,6 +592,7 @@
 	if o.Status == OK {
 		n.unproven = false
 		n.completed++
+		n.answers = append(n.answers, r.now)
 		n.overtook = max(n.overtook, q.tries[o.Attempt].at)
 	}
 	if o.Status == OK || o.Status == TimedOut {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -197,22 +198,46 @@
 	h.want("write after it", h.arrive(51, classWrite))
 }
 
-// Rule 4: sends to a cold node within one fall window stay within the budget, for writes to a cold primary too.
+// Rule 4: sends to a cold node within one fall window stay within the budget, for writes to a cold primary too. What it
+// answers in the window pays for more of them, and is forgotten with the window: a router that has seen nothing else
+// answered, as one just started, would otherwise never send it more than the least.
 func TestColdBudget(t *testing.T) {
-	h := newHarness(t, settings())
-	h.list(Node{ID: 1, State: Ready, Started: h.now}, Node{ID: 2, State: Gone}, Node{ID: 3, State: Gone})
-	h.probed(1, Primary, h.now+1)
-	sent := 0
-	for id := RequestID(10); id < 60; id++ {
-		for _, a := range h.arrive(id, classWrite) {
-			if a.Kind == Send {
-				sent++
-				h.done(id, 0, 1, OK, Evidence{Primary, h.now})
+	cold := func() *harness {
+		h := newHarness(t, settings())
+		h.list(Node{ID: 1, State: Ready, Started: h.now}, Node{ID: 2, State: Gone}, Node{ID: 3, State: Gone})
+		h.probed(1, Primary, h.now+1)
+		return h
+	}
+	id := RequestID(10)
+	burst := func(h *harness, writes int, answer bool) (sent int) {
+		for range writes {
+			id++
+			for _, a := range h.arrive(id, classWrite) {
+				if a.Kind == Send {
+					sent++
+				}
+				if a.Kind == Send && answer {
+					h.done(id, 0, 1, OK, Evidence{Primary, h.now})
+				}
 			}
 		}
+		return sent
+	}
+	if sent := burst(cold(), 50, false); sent == 0 || sent > coldLeast {
+		t.Fatalf("%d sends to a cold node that answers nothing, want 1 to %v", sent, coldLeast)
+	}
+	if sent := burst(cold(), 50, true); sent < 40 {
+		t.Fatalf("%d sends to a cold node that answers each at once, want 40 and more", sent)
+	}
+	h := cold()
+	answered := burst(h, 8, true)
+	most := int(math.Ceil(coldSafety * h.r.set.FallMultiple * float64(answered)))
+	if all := answered + burst(h, 50, false); answered != 8 || all != most {
+		t.Fatalf("%d sends in a window with %d answers, want %d with 8", all, answered, most)
 	}
-	if sent == 0 || sent > coldLeast {
-		t.Fatalf("%d sends to a cold node, want 1 to %v", sent, coldLeast)
+	h.wait(2 * h.r.set.FallWindow) // those held meanwhile are given up
+	if sent := burst(h, 50, false); sent > coldLeast {
+		t.Fatalf("%d sends a window after the last answer, want %v at the most", sent, coldLeast)
 	}
 }
 
