Learn from reports how much databases work on at once, and spread short reads of any data

Cause: two values of the first deployment. capAll, neverShed and writeRoom count requests at a database, measured with 3 cores: with 8 cores a replica is held to one request a core, and shed from. And reads of any data share one key, 'as long ones hold the log up': these are as short as the others.

Change: the crowd at a node is counted for each unit of a size that all routers learn alike, from reports: it grows while nodes that hold as many as they are taken to work on report nobody waiting, and shrinks while more wait than are worked on. Where no report tells, it is 1 as before. Answers' reports are read on sockets too. Reads of any data are kept together only where their aim is longer than the tightest age of bounded reads.

--- a/choice/api.go
+++ b/choice/api.go
@@ -161,6 +161,8 @@
 type Evidence struct {
 	Role     Role
 	Position time.Duration // clock time up to which all commits are applied; of a write, its commit; 0: none
+	Waits    bool          // it tells how many requests wait there for others to end
+	Waiting  float64       // ... so many
 }
 
 type Role uint8
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -7,6 +7,9 @@
 	"math"
 	"slices"
 	"time"
+
+	"capercove/internal/capacity"
+	"capercove/internal/quota"
 )
 
 const ms = time.Millisecond
@@ -19,7 +22,7 @@
 	gainI         = 0.3       // K_I
 	worstError    = -2.0      // one hung period moves a bound no further than this error
 	minSamples    = 6         // fewer reads than this are carried over to the next period
-	capAll        = 4.0       // cap of d, the reads that all routers together may have out at a node
+	capAll        = 4.0       // cap of d, the reads that all routers may have out at a node of size 1
 	presumeOver   = 4000 * ms // what others have out is taken from this router's mean of so long
 	presumeEach   = 100 * ms  // ... or this times the routers, if shorter
 	floorShare    = 1.0 / 6   // floor of d, as a share of the cap
@@ -41,17 +44,15 @@
 	lostAfter     = 8                // times the usual latency, and the aim: what later ones overtook is lost
 	extraShare    = 0.1              // second copies and retries allowed for each first try
 	extraMost     = 20.0             // saved up
-	coldSafety    = 0.5              // share of the cold budget that is used
 	coldLeast     = 3.0              // sends to a cold node in a window that all routers together always have
 	coldTurns     = 2                // turns of a window in which chance deals out parts of one send
 	spillShare    = 2.0              // of the primary's bound: reads that a replica could take stop here
 	patienceLeast = 0.3              // of what is left of the aim: longer waits are not worth a send
 	patienceWorth = 0.3              // ... and this much more for the dearest class
-	anyRoom       = 2.0              // times the bound: room for reads of any data, which keep together
+	anyRoom       = 2.0              // times the bound: room for long reads of any data, which keep together
 	neverShed     = 1.5              // times the cap in flight: no shedding below, the prediction is coarse
 	writeRoom     = 3.0              // writes are held beyond this multiple of the cap
 	keepWrites    = 60 * time.Second // a session's last write is remembered this long
-	quotaBurst    = time.Second      // of its quota a tenant may save up
 )
 
 // node is what this router knows of one data node.
@@ -76,9 +77,9 @@
 	heard, answered          time.Duration // last answer or probe; last answer to a request
 	overtook                 time.Duration // latest send of a request that was answered
 	probed                   time.Duration
-	sends, answers           []time.Duration // while cold, of the last fall window
-	latency                  float64         // running mean of its answers, in ns
-	load                     float64         // running mean of crowd at the sends of those answers
+	cold                     capacity.Cold // what it was sent and has answered while cold
+	latency                  float64       // running mean of its answers, in ns
+	load                     float64       // running mean of crowd at the sends of those answers
 
 	d, delta, lastError float64 // the loop: bound, last change, last error
 	sum                 float64 // latency over aim, of this period's samples
@@ -138,10 +139,11 @@
 	probes             float64       // probes that may still be spent
 	rate               float64       // completions a second on a warm node, in the mean
 	doubt              *node
-	walks, turn        uint64        // walks of rings so far; the node that watch begins with
-	quota              []float64     // requests left of each tenant's quota
-	quotaAt            time.Duration // when it was last filled up
+	walks, turn        uint64 // walks of rings so far; the node that watch begins with
+	quotas             quota.Quotas
+	size               capacity.Size // of the nodes, as far as their reports tell
 	topWorth           float64
+	tightest           time.Duration // bound on age of all classes
 	nextTick, nextLoop time.Duration
 	bans               map[NodeID]time.Duration
 	askAt, askWait     time.Duration // when to subscribe, negative: done; wait after the next failure
@@ -150,7 +152,7 @@
 
 // New returns a router that knows nothing but its settings.
 func New(s Settings, seed uint64) *Router {
-	r := &Router{seed: seed, byID: map[NodeID]*node{}, requests: map[RequestID]*request{},
+	r := &Router{seed: seed, size: 1, byID: map[NodeID]*node{}, requests: map[RequestID]*request{},
 		sessions: map[uint64]time.Duration{}, extra: extraMost / 2}
 	r.retune(s)
 	r.askWait = r.askOver(time.Duration(s.Routers) * askEach)
@@ -332,6 +334,9 @@
 	if e.Role != RoleUnknown && at >= n.roleAt {
 		n.role, n.roleAt = e.Role, at
 	}
+	if e.Waits && r.warmth(n) == 1 {
+		r.size = r.size.Told(r.crowd(n), e.Waiting)
+	}
 }
 
 // primary returns the member with the newest evidence of being the primary, nil if none may be sent to.
@@ -364,14 +369,11 @@
 func (r *Router) coldRoom(n *node) bool {
 	warmth := r.warmth(n)
 	if warmth == 1 {
-		n.sends, n.answers = n.sends[:0], n.answers[:0]
+		n.cold.Warm()
 		return true
 	}
-	old := func(at time.Duration) bool { return r.now-at > r.set.FallWindow }
-	n.sends, n.answers = slices.DeleteFunc(n.sends, old), slices.DeleteFunc(n.answers, old)
-	shown := max(warmth*r.rate*r.set.FallWindow.Seconds(), float64(len(n.answers)))
-	budget := coldSafety * r.set.FallMultiple * shown
-	part := max(coldLeast/float64(r.set.Routers), budget) - float64(len(n.sends))
+	part := n.cold.Left(r.now, r.set.FallWindow, r.set.FallMultiple, warmth*r.rate*r.set.FallWindow.Seconds(),
+		coldLeast/float64(r.set.Routers))
 	own := mix(r.seed ^ uint64(n.ID)) // Turns begin at another time at each router, not all at once.
 	turn := mix(own ^ uint64(coldTurns*(r.now+time.Duration(own%uint64(r.set.FallWindow)))/r.set.FallWindow))
 	return part >= 1 || coldTurns*float64(turn>>11)/(1<<53) < part
@@ -386,10 +388,11 @@
 }
 
 // crowd is what all routers together have in flight at a node: what this one has, and for each other what
-// this one has had in the mean, as the front deals alike. So bounds add up even if each part is under one.
+// this one has had in the mean, as the front deals alike; for each unit of the size. So bounds add up even if
+// each part is under one, and what holds of a small node holds of a large one.
 func (r *Router) crowd(n *node) float64 {
 	r.book(n, 0)
-	return float64(n.inFlight) + n.mean*float64(r.set.Routers-1)
+	return (float64(n.inFlight) + n.mean*float64(r.set.Routers-1)) / float64(r.size)
 }
 
 // bound is the loop's d for a node, less while it is cold or has yet to prove itself.
@@ -481,7 +484,7 @@
 		deadline: r.now + a.Expires, letGo: r.now + a.Expires/2, worth: class.Worth / r.topWorth, room: 1,
 		most: r.set.MaxAttempts}
 	switch {
-	case class.Read == AnyRead: // Long ones hold the log up. Kept together, they do so at few replicas.
+	case class.Read == AnyRead && class.Aim > r.tightest: // It may hold the log up too long: at few nodes.
 		q.Session, q.room = uint64(a.Class)+1, anyRoom
 	case class.Read == FreshRead:
 		q.need = r.now
@@ -495,11 +498,8 @@
 	r.open = append(r.open, q)
 	r.extra = min(extraMost, r.extra+extraShare)
 	r.probes = min(float64(len(r.nodes)), r.probes+probeShare+probeAlone/float64(r.set.Routers))
-	if a.Tenant < len(r.quota) {
-		if r.quota[a.Tenant]--; r.quota[a.Tenant] < 0 {
-			q.worth *= r.set.OverQuota
-			r.quota[a.Tenant]++
-		}
+	if !r.quotas.Take(a.Tenant, r.now) {
+		q.worth *= r.set.OverQuota
 	}
 	return q
 }
@@ -592,7 +592,7 @@
 	if o.Status == OK {
 		n.unproven = false
 		n.completed++
-		n.answers = append(n.answers, r.now)
+		n.cold.Answered(r.now)
 		n.overtook = max(n.overtook, q.tries[o.Attempt].at)
 	}
 	if o.Status == OK || o.Status == TimedOut {
@@ -609,7 +609,7 @@
 
 func (r *Router) send(q *request, n *node) {
 	if r.warmth(n) < 1 {
-		n.sends = append(n.sends, r.now)
+		n.cold.Sent(r.now)
 	}
 	if !q.mayRun {
 		q.mayRun, q.firstRun, q.dedup = true, r.now, n
@@ -782,12 +782,6 @@
 // ---- Time
 
 func (r *Router) tick() {
-	passed := min(r.now-r.quotaAt, quotaBurst).Seconds()
-	r.quotaAt = r.now
-	for i, perSecond := range r.set.Quotas { // This router's part; what it leaves is saved for a short burst.
-		perSecond /= float64(r.set.Routers)
-		r.quota[i] = min(perSecond*quotaBurst.Seconds(), r.quota[i]+perSecond*passed)
-	}
 	r.sweep()
 	if r.now >= r.nextLoop {
 		if r.nextLoop > 0 {
--- a/choice/operators.go
+++ b/choice/operators.go
@@ -1,22 +1,26 @@
 package choice
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // What the operators change while the router runs, its settings and bans of nodes; what they are shown; and answers
 // that take long to pass on.
 
 // retune takes in settings. An open request keeps its class, and no more attempts than either settings allow.
 func (r *Router) retune(s Settings) {
-	r.set, r.topWorth = s, 0
+	r.set, r.topWorth, r.tightest = s, 0, math.MaxInt64
 	for _, c := range s.Classes {
 		r.topWorth = max(r.topWorth, c.Worth)
+		if c.Read == BoundedRead {
+			r.tightest = min(r.tightest, c.MaxAge)
+		}
 	}
 	for _, q := range r.open {
 		q.most = min(q.most, s.MaxAttempts)
 	}
-	if len(r.quota) != len(s.Quotas) {
-		r.quota = make([]float64, len(s.Quotas))
-	}
+	r.quotas.Set(s.Quotas, s.Routers)
 }
 
 // ban takes in the bans, which outlast what the list says. While banned, a node is restarted: back from it, it is
@@ -68,6 +72,9 @@
 	return count
 }
 
+// Size is how much a node works on at once, as a multiple of what a small one does.
+func (r *Router) Size() float64 { return float64(r.size) }
+
 // Leads tells whether every group has a primary, as far as is known. One that is banned will do: waiting brings no other.
 func (r *Router) Leads() bool {
 	for _, g := range r.groups {
--- /dev/null
+++ b/internal/capacity/capacity_test.go
@@ -0,0 +1,68 @@
+package capacity_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"capercove/internal/capacity"
+)
+
+// A database that works on so many at once, sent as many as its size says it bears: the size settles so that about as many
+// wait as are worked on, whatever the size it began with.
+func TestSizeSettles(t *testing.T) {
+	for _, cores := range []float64{1, 3, 8, 40} {
+		for _, begin := range []capacity.Size{0.5, 1, 30} {
+			s := begin
+			for range 10000 {
+				held := 4 * float64(s) // sent up to the cap of a database of that size
+				s = s.Told(held/float64(s), max(0, held-cores))
+			}
+			held := 4 * float64(s)
+			require.GreaterOrEqual(t, held, cores*0.99, "%v at once, begun at %v: it idles", cores, begin)
+			require.LessOrEqual(t, held-cores, capacity.One*float64(s)*1.01, "%v at once, begun at %v: a crowd", cores, begin)
+		}
+	}
+}
+
+// Databases that hold little tell nothing of their size, and so do short queues.
+func TestSizeStands(t *testing.T) {
+	s := capacity.Size(2)
+	require.Equal(t, s, s.Told(capacity.One-0.1, 0))
+	require.Equal(t, s, s.Told(20, 1))
+	require.Equal(t, s, s.Told(0, capacity.One*2))
+}
+
+// Many senders that each count their own answers keep the budget of a database together, and use it up to what
+// it can do, though each begins with next to nothing and believes that it can do nothing.
+func TestColdTogether(t *testing.T) {
+	const senders, window, step, multiple = 7, time.Second, time.Millisecond, 3.0
+	for _, perSecond := range []int{40, 300} { // what the database does
+		var all [senders]capacity.Cold
+		var sent, done []time.Duration
+		queue := []int{}
+		most := 0
+		for now := step; now < 20*time.Second; now += step {
+			for i := range all {
+				// More is wanted than it can do: a second copy of the loop would be a crowd.
+				if len(queue) < 60 && all[i].Left(now, window, multiple, 0, 3.0/senders) >= 0.4 {
+					all[i].Sent(now)
+					sent = append(sent, now)
+					queue = append(queue, i)
+				}
+			}
+			if int(now/step)*perSecond/1000 > int((now-step)/step)*perSecond/1000 && len(queue) > 0 {
+				all[queue[0]].Answered(now)
+				queue = queue[1:]
+				done = append(done, now)
+			}
+			for len(sent) > 0 && now-sent[0] > window {
+				sent = sent[1:]
+			}
+			most = max(most, len(sent))
+		}
+		require.LessOrEqual(t, float64(most), multiple*float64(perSecond)*window.Seconds(), "%d a second", perSecond)
+		require.Greater(t, float64(len(done)), 0.9*18*float64(perSecond), "%d a second: what it could do is not used", perSecond)
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -127,6 +127,7 @@
 	Broken, NotSent, Turned             int64
 	Probes, ProbesFailed                int64
 	Lists, ListsFailed, Batches, Events int64
+	Size                                float64 // of the databases, as the router takes them; 1 where none tells
 }
 
 // outcome is the counter of a status.
@@ -531,6 +532,7 @@
 	c.Count.Batches++
 	c.Count.Events += int64(len(events))
 	c.actions = c.router.Step(c.clock(), events, c.actions[:0])
+	c.Count.Size = c.router.Size()
 	for _, a := range c.actions {
 		c.act(a)
 	}
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -54,6 +54,23 @@
 	require.Equal(t, "from db-0", string(c.Ask(b.Statement("write", "b", second)).Value))
 }
 
+// Load reports that come with answers are read: databases at which many wait are taken for smaller. What cannot be read, or
+// is no number of anything, changes nothing.
+func TestReportsInAnswers(t *testing.T) {
+	b := testbed.Start(t)
+	c := b.Client()
+	for _, report := range []string{"backlog=", "backlog=NaN", "=,,backlog", "util=1,x0=a"} {
+		b.Databases[0].Tell(report)
+		require.True(t, c.Ask(b.Statement("write", report[:1], second)).Complete, report)
+	}
+	b.Counters(func(c testbed.Counters) bool { return c.Core.Size == 1 })
+	b.Databases[0].Tell("x0=1.5,x1=1,backlog=40")
+	for range 10 {
+		require.True(t, c.Ask(b.Statement("write", "a", second)).Complete)
+	}
+	b.Counters(func(c testbed.Counters) bool { return c.Core.Size < 0.97 && c.Core.Size > 0.9 })
+}
+
 // A refusal is 53300 with a number in D; a write that may have run is failed and sent once; a read is sent again.
 func TestFinalAnswers(t *testing.T) {
 	b := testbed.Start(t)
--- a/internal/net/pool.go
+++ b/internal/net/pool.go
@@ -208,6 +208,10 @@
 		case "read-only":
 			note.Role = choice.Replica
 		}
+		if r.Stats != "" { // Role and position are newer in the answer's own note.
+			load := evidence(pg.ParseReport(r.Stats))
+			note.Waits, note.Waiting = load.Waits, load.Waiting
+		}
 	}
 	if r != nil && unusable(r.Code) {
 		p.core.Unusable(j.attempt, note)
@@ -227,6 +231,7 @@
 			e.Role = choice.Primary
 		}
 	}
+	e.Waiting, e.Waits = report["backlog"]
 	return e
 }
 
--- a/internal/pg/link.go
+++ b/internal/pg/link.go
@@ -18,6 +18,7 @@
 	Detail   string        // ... and field D
 	Mode     string        // ParameterStatus mode
 	Position time.Duration // ParameterStatus wal_time, from the Unix epoch; 0: none
+	Stats    string        // ParameterStatus stats: a load report
 	Fatal    bool          // the connection cannot be used again
 	Long     bool          // the row has been passed on in pieces; Rows holds the rest
 }
@@ -170,6 +171,8 @@
 		switch name {
 		case "mode":
 			r.Mode = value
+		case "stats":
+			r.Stats = value
 		case "wal_time":
 			if ms, err := strconv.ParseFloat(value, 64); err == nil && ms > 0 && ms < 1<<42 {
 				r.Position = time.Duration(ms) * time.Millisecond
--- a/internal/testbed/database.go
+++ b/internal/testbed/database.go
@@ -41,6 +41,7 @@
 
 	t       *testing.T
 	primary atomic.Bool
+	stats   atomic.Value // string, see Tell
 	mu      sync.Mutex
 	got     []string
 	started int
@@ -334,7 +335,13 @@
 	return reply, word
 }
 
+// Tell lets every answer carry a load report, such as "backlog=3".
+func (d *Database) Tell(report string) { d.stats.Store(report) }
+
 func (d *Database) parameters(b []byte) []byte {
+	if report, told := d.stats.Load().(string); told {
+		b = pg.AppendParameter(b, "stats", report)
+	}
 	return pg.AppendParameter(pg.AppendParameter(b, "mode", d.mode()), "wal_time", fmt.Sprint(now()))
 }
 
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -270,6 +270,7 @@
 	Core    struct {
 		Fronts                                                         map[string]Answers
 		Attempts, Written, Reloads, ReloadErrors, NoProcess, NoConnect int
+		Size                                                           float64
 	}
 	Front struct{ Expired int }
 }
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -154,6 +154,6 @@
 		c.Classes = append(c.Classes, class)
 	}
 	u := units{origin: s.Extra.Origin.time(), connect: s.Allowed.Connect.time(), x0: slices.Index(s.Feedback.Fields, "x0"),
-		x1: slices.Index(s.Feedback.Fields, "x1"), tenants: len(s.Projects), classes: len(s.Lanes)}
+		x1: slices.Index(s.Feedback.Fields, "x1"), waiting: slices.Index(s.Feedback.Fields, "backlog"), tenants: len(s.Projects), classes: len(s.Lanes)}
 	return c, u, err
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -65,6 +65,7 @@
 	origin  time.Duration
 	connect time.Duration // a connection has come up by then, or never will
 	x0, x1  int           // where a report holds position and role; -1: nowhere
+	waiting int           // ... and how many requests wait
 	tenants int
 	classes int
 }
@@ -302,6 +303,8 @@
 			} else if v > 0 { // Rounded down: a position must not be overstated.
 				e.Position = u.origin + ms(float64(math.Nextafter32(v, 0))*1000)
 			}
+		case u.waiting:
+			e.Waits, e.Waiting = true, float64(v)
 		case u.x1:
 			e.Role = choice.Replica
 			if v == 1 {
