Settle between two processes at an upgrade how many descriptors each may open

Seen in reading: with an inherited listener each process held itself to seven tenths of what a lone one takes, whether it stood alone or not: two could together open 554 of 384 descriptors, and one alone left a third unused.

Ways weighed: a fixed half each (a lone process wastes half; 61 clients at 384); an even split of what is free (a newcomer gets 15 connections to databases in the overlap, when it has to take over); the youngest takes what the others do not use, which is built.

Change: internal/share. Part is pure: from the claims of all, what one may open; an elder keeps what it uses and an eighth, one that leaves a sixteenth, the youngest the rest but for an eighth, which is left to one that is yet to come. Beside carries it out through a file for each process, locked while it lives, and a lock for each step, taken without waiting, so that one that is stopped holds nobody up. Front and pool are given room beyond what they have. takes in the counters tells it. Where nothing can be settled, half is used.

Tests: 300 seeded schedules of four processes that start, grow, leave, stop and die between steps, never over the grant; processes killed and stopped; two poolers of the shipped program with a crowd of clients, the elder ended, killed or stopped: never over the grant, and the newer has seven eighths afterwards.

--- a/cmd/capercove/main.go
+++ b/cmd/capercove/main.go
@@ -29,6 +29,7 @@
 	"capercove/internal/management"
 	"capercove/internal/net"
 	"capercove/internal/pcap"
+	"capercove/internal/share"
 	"capercove/internal/statement"
 	"capercove/internal/store"
 	"capercove/internal/tenant"
@@ -77,6 +78,7 @@
 	store  store.Store
 	tap    *pcap.Writer
 	stops  chan struct{} // closed on SIGTERM
+	beside *share.Beside // the loop's to begin with, then the goroutine's that settles; nil where it stands alone
 }
 
 func run(log zerolog.Logger) error {
@@ -90,12 +92,20 @@
 	if err := tables.Load(&own); err != nil {
 		return err
 	}
+	var beside *share.Beside
+	if cfg.ListenFD > 0 {
+		beside = besides(cfg, log)
+	}
 	l := limitsOf(cfg)
+	if cfg.ListenFD > 0 && beside == nil {
+		l.Clients, l.Servers = l.Clients/2, l.Servers/2
+	}
 	debug.SetMemoryLimit(l.MemoryBytes)
 	runtime.GOMAXPROCS(2) // One core, but the loop must not wait for a goroutine that sits in a system call.
 	log = log.With().Str("pooler", cfg.Name).Logger()
 
-	p := &program{log: log, config: cfg, shared: cfg.ListenFD > 0, limits: l, stops: make(chan struct{})}
+	p := &program{log: log, config: cfg, shared: cfg.ListenFD > 0, limits: l, beside: beside,
+		stops: make(chan struct{})}
 	listener, err := net.Listen(cfg.ListenFD, cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -181,6 +191,9 @@
 		p.bans.Look()
 		p.driver.Do(p.core.Start) // behind the bans: they hold before anything is sent
 		go p.bans.Watch(ctx, l.Bans)
+		if p.beside != nil {
+			go p.settle(ctx)
+		}
 	}
 	if err := p.driver.Run(start); err != nil {
 		return fmt.Errorf("event loop: %w", err)
@@ -244,6 +257,56 @@
 	return true, nil
 }
 
+// besides gives a process its place among others of its pooler.
+func besides(c config.Config, log zerolog.Logger) *share.Beside {
+	b, err := share.Join(os.TempDir(), c.Name, c.Machine.Sockets)
+	if err != nil {
+		log.Error().Err(err).Msg("share: cannot be settled; half of the descriptors are used")
+	}
+	return b
+}
+
+// descriptors is how many this process has open.
+func descriptors() int {
+	entries, _ := os.ReadDir("/proc/self/fd")
+	return len(entries)
+}
+
+// settle settles again and again what this process may have open beside others. It begins before clients are let in.
+func (p *program) settle(ctx context.Context) {
+	tick := time.NewTicker(p.limits.Share)
+	defer tick.Stop()
+	failed, leaving := "", false
+	for ctx.Err() == nil {
+		err := p.beside.Settle(leaving, descriptors, func(room int) {
+			done := make(chan struct{})
+			p.driver.Do(func() {
+				defer close(done)
+				room = max(0, room-p.limits.Accepting) / 2 // Against a client and a database that both take the last one.
+				p.front.Limit(p.limits, room)
+				p.pool.Limit(p.limits, room)
+			})
+			select {
+			case <-done:
+			case <-ctx.Done():
+			}
+		})
+		if err != nil && err != share.ErrBusy && err.Error() != failed {
+			failed = err.Error()
+			p.log.Error().Err(err).Int("takes", p.beside.Takes()).Msg("share: cannot be settled; the part is kept")
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+		}
+		select {
+		case <-p.stops:
+			leaving = true
+		default:
+		}
+	}
+}
+
 // keep stores this pooler's state, again and again.
 func (p *program) keep(name string) {
 	p.store.Put("state/"+name, map[string]any{"at": time.Now().UTC(), "open": p.core.Open(),
@@ -358,6 +421,9 @@
 func (p *program) counters(what string) {
 	line := p.log.Info().Interface("core", p.core.Count).Interface("front", p.front.Count).
 		Interface("pool", p.pool.Count).Int("open", p.core.Open())
+	if p.beside != nil {
+		line = line.Int("takes", p.beside.Takes())
+	}
 	if p.flight != nil {
 		line = line.Interface("flight", p.flight.Counts())
 	}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -74,6 +74,7 @@
 	ReadyWait      time.Duration // it is ready by then, also if no list has come or a primary is unknown
 	Figures        time.Duration // the operators' figures are this old at most
 	Bans           time.Duration // another process's change of the bans is seen by then
+	Share          time.Duration // what processes beside each other may have open is settled this often
 	OperatorHead   time.Duration // an operator's call has come by then
 	OperatorCall   time.Duration // and is answered by then
 	StoreEvery     time.Duration // the state is stored this often
@@ -97,8 +98,7 @@
 	sockets := max(64, m.Sockets-48-leaving)
 	clients, servers := sockets*7/10, sockets*3/10
 	memory := int64(m.MemoryMB) << 20 * 6 / 10
-	if m.Shared { // Against two processes that together hold more than the machine grants.
-		clients, servers = sockets/2, sockets/5
+	if m.Shared { // Against two processes that together hold more than the machine grants; sockets: package share.
 		memory = memory * 3 / 4
 	}
 	const flightMessage = 4 << 20
@@ -173,6 +173,7 @@
 		Bans:           100 * time.Millisecond,
 		OperatorHead:   time.Second,
 		OperatorCall:   900 * time.Millisecond,
+		Share:          50 * time.Millisecond,
 		StoreEvery:     2 * time.Second,
 		StoreWait:      2 * time.Second,
 		LogEvery:       time.Second,
--- a/internal/management/management_test.go
+++ b/internal/management/management_test.go
@@ -176,3 +176,42 @@
 	require.NoError(t, <-ended)
 	require.True(t, b.Client().Ask(b.Statement("write", "a", second)).Complete)
 }
+
+// Two processes that stand beside each other at an upgrade never have more descriptors open than the machine grants, however
+// many clients come and whatever becomes of the elder: it ends as it should, is killed, or hangs and never ends. Then the newer
+// takes what is left.
+func TestUpgradeWithinTheGrant(t *testing.T) {
+	const grant = 192
+	for _, end := range []syscall.Signal{syscall.SIGTERM, syscall.SIGKILL, syscall.SIGSTOP} {
+		t.Run(end.String(), func(t *testing.T) {
+			b := testbed.Start(t, testbed.WithListener, func(b *testbed.Bed) { b.Sockets = grant })
+			open := func(p *os.Process) int {
+				entries, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.Pid)) // none once it has ended
+				return len(entries)
+			}
+			old := b.Process()
+			t.Cleanup(func() { old.Signal(syscall.SIGCONT); old.Kill() })
+			crowd := func(n int) (let int) { // clients that come, ask and stay
+				for range n {
+					if c, in := b.Knock(); in && c.Ask(b.Statement("write", "a", testbed.Patience)).Complete {
+						let++
+					}
+					require.LessOrEqual(t, open(old)+open(b.Process()), grant)
+				}
+				return let
+			}
+			b.Counters(func(c testbed.Counters) bool { return c.Takes == grant*7/8 })
+			require.Equal(t, 60, crowd(60), "one that stands alone uses what there is")
+			ended := b.Upgrade()
+			crowd(40)
+			if end == syscall.SIGTERM {
+				require.NoError(t, ended())
+			} else {
+				require.NoError(t, old.Signal(end))
+			}
+			b.Counters(func(c testbed.Counters) bool { return end == syscall.SIGSTOP || c.Takes == grant*7/8 })
+			require.Positive(t, crowd(20), "the newer serves")
+			require.LessOrEqual(t, open(old)+open(b.Process()), grant)
+		})
+	}
+}
--- a/internal/net/front.go
+++ b/internal/net/front.go
@@ -55,6 +55,11 @@
 	return f
 }
 
+// Limit bounds how many more clients there may be than now, within the limits that the front was given.
+func (f *Front) Limit(l limits.Limits, more int) {
+	f.limits.Clients = min(l.Clients, len(f.clients)+more)
+}
+
 // sweep closes connections that stay without a request, once there are more than a few. Against clients that ask once
 // and stay: they use up what connections all clients together may open, long before the table here is full.
 func (f *Front) sweep() {
--- a/internal/net/pool.go
+++ b/internal/net/pool.go
@@ -116,6 +116,9 @@
 	p.limits.ConnectTimeout, p.limits.ProbeTimeout, p.limits.ServerIdle = l.ConnectTimeout, l.ProbeTimeout, l.ServerIdle
 }
 
+// Limit bounds how many more connections there may be than now, within the limits that the pool was given.
+func (p *Pool) Limit(l limits.Limits, more int) { p.limits.Servers = min(l.Servers, p.links+more) }
+
 // ---- Attempts and probes
 
 // Send begins an attempt.
--- /dev/null
+++ b/internal/share/share_test.go
@@ -0,0 +1,172 @@
+package share_test
+
+import (
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"capercove/internal/share"
+)
+
+const grant = 384
+
+func TestPart(t *testing.T) {
+	elder, young := int64(1), int64(2)
+	for _, c := range []struct {
+		name   string
+		own    share.Claim
+		others []share.Claim
+		want   int
+	}{
+		{"alone: all but what one that is yet to come needs", share.Claim{Uses: 20}, nil, 336},
+		{"alone and crowded", share.Claim{Uses: 330, Takes: 336}, nil, 336},
+		{"a newcomer beside one that has not seen it", share.Claim{Born: young, Uses: 16},
+			[]share.Claim{{Born: elder, Uses: 90, Takes: 336}}, 48},
+		{"the elder keeps what it uses, and some room", share.Claim{Born: elder, Uses: 90, Takes: 336},
+			[]share.Claim{{Born: young, Uses: 16, Takes: 48}}, 138},
+		{"however much it uses", share.Claim{Born: elder, Uses: 330, Takes: 336}, []share.Claim{{Born: young, Uses: 48, Takes: 48}}, 336},
+		{"the newcomer takes what it has given back", share.Claim{Born: young, Uses: 20, Takes: 48},
+			[]share.Claim{{Born: elder, Uses: 90, Takes: 138}}, 246},
+		{"one that leaves", share.Claim{Born: elder, Uses: 40, Takes: 138, Leaving: true},
+			[]share.Claim{{Born: young, Uses: 60, Takes: 246}}, 64},
+		{"the newcomer beside one that leaves", share.Claim{Born: young, Uses: 60, Takes: 246},
+			[]share.Claim{{Born: elder, Uses: 40, Takes: 64, Leaving: true}}, 320},
+		{"nothing is left", share.Claim{Born: 3, Uses: 10}, []share.Claim{{Uses: 200, Takes: 200}, {Uses: 184, Takes: 184}}, 0},
+	} {
+		require.Equal(t, c.want, share.Part(grant, c.own, c.others), c.name)
+	}
+}
+
+// Whatever starts, grows, shrinks, leaves, dies or stops between the steps of several processes, together they never have
+// more open than the grant; and one that stands alone gets nearly all of it back.
+func TestTogetherWithinTheGrant(t *testing.T) {
+	for seed := range uint64(300) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		claims, stopped := map[int]share.Claim{}, map[int]bool{}
+		step := func(i int) {
+			own, others := claims[i], []share.Claim{}
+			for j, c := range claims {
+				if j != i {
+					others = append(others, c)
+				}
+			}
+			own.Takes = share.Part(grant, own, others)
+			claims[i] = own
+		}
+		for range 400 {
+			i := random.IntN(4)
+			c, lives := claims[i]
+			switch what := random.IntN(10); {
+			case !lives && what < 3:
+				claims[i] = share.Claim{Born: random.Int64N(1000)}
+				stopped[i] = false
+			case lives && what == 0:
+				delete(claims, i) // killed
+			case lives && what == 1:
+				stopped[i] = !stopped[i] // its claim stands, it moves no more, or again
+			case lives && what == 2:
+				c.Leaving = true
+				claims[i] = c
+			case lives && !stopped[i] && what < 6: // it opens and closes, within what it last settled
+				c.Uses = random.IntN(c.Takes + 1)
+				claims[i] = c
+			case lives && !stopped[i]:
+				step(i)
+			}
+			takes := 0
+			for _, c := range claims {
+				require.LessOrEqual(t, c.Uses, c.Takes, "seed %d", seed)
+				takes += c.Takes
+			}
+			require.LessOrEqual(t, takes, grant, "seed %d", seed)
+		}
+		clear(claims)
+		claims[0] = share.Claim{}
+		step(0)
+		require.Equal(t, 336, claims[0].Takes, "seed %d", seed)
+	}
+}
+
+// settle makes steps until one is made: another process may hold the lock.
+func settle(t *testing.T, b *share.Beside, leaving bool, uses int) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		err := b.Settle(leaving, func() int { return uses }, func(int) {})
+		if err != share.ErrBusy {
+			require.NoError(t, err)
+		}
+		return err == nil
+	}, 20*time.Second, time.Millisecond)
+}
+
+// TestMain is the other process, where it is asked to be one: it takes its part, says so, and stays until it is ended.
+func TestMain(m *testing.M) {
+	dir := os.Getenv("SHARE_TEST_DIR")
+	if dir == "" {
+		os.Exit(m.Run())
+	}
+	b, err := share.Join(dir, "n[0]*", grant)
+	for err == nil {
+		if err = b.Settle(false, func() int { return 100 }, func(int) {}); err == nil {
+			os.Stdout.WriteString("settled\n")
+			select {}
+		}
+		if err == share.ErrBusy {
+			err = nil
+		}
+	}
+	os.Stdout.WriteString(err.Error())
+	os.Exit(1)
+}
+
+// A process that is killed loses its claim with its life, however it was cut short; one that is stopped keeps it, and keeps
+// nobody else from settling. What a dead process left is removed.
+func TestKilledAndStopped(t *testing.T) {
+	dir := t.TempDir()
+	start := func() *exec.Cmd {
+		other := exec.Command(os.Args[0])
+		other.Env = append(os.Environ(), "SHARE_TEST_DIR="+dir)
+		out, err := other.StdoutPipe()
+		require.NoError(t, err)
+		require.NoError(t, other.Start())
+		t.Cleanup(func() { other.Process.Kill(); other.Wait() })
+		said := make([]byte, 8)
+		_, err = out.Read(said)
+		require.NoError(t, err)
+		require.Equal(t, "settled\n", string(said))
+		return other
+	}
+	b, err := share.Join(dir, "n[0]*", grant)
+	require.NoError(t, err)
+	settle(t, b, false, 20)
+	require.Equal(t, 336, b.Takes())
+	other := start() // takes the spare part, and uses more than it
+	settle(t, b, false, 20)
+	require.Equal(t, 20+grant/8, b.Takes(), "the elder makes room")
+	require.NoError(t, other.Process.Signal(syscall.SIGSTOP))
+	settle(t, b, false, 20)
+	require.Equal(t, 20+grant/8, b.Takes(), "a stopped one keeps its place")
+	require.NoError(t, other.Process.Kill())
+	other.Wait()
+	settle(t, b, false, 20)
+	require.Equal(t, 336, b.Takes())
+	left, err := filepath.Glob(filepath.Join(dir, "*"))
+	require.NoError(t, err)
+	require.Len(t, left, 2, "the lock and the own claim are left: %v", left)
+
+	require.NoError(t, os.WriteFile(filepath.Join(dir, "capercove-share-n%5B0%5D%2A.1"), []byte("noise"), 0o600))
+	settle(t, b, true, 20)
+	require.Equal(t, 20+grant/16, b.Takes(), "leaving, and what nobody holds is nobody's")
+}
+
+// A directory that is not there is an error, not a share.
+func TestNowhere(t *testing.T) {
+	_, err := share.Join(filepath.Join(t.TempDir(), "none"), "n0", grant)
+	require.ErrorContains(t, err, "none")
+}
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -229,6 +229,9 @@
 	require.Eventually(b.T, f, Patience, 5*time.Millisecond, what)
 }
 
+// Process is the program that was started last.
+func (b *Bed) Process() *os.Process { return b.process.Process }
+
 // Signal sends a signal to the program.
 func (b *Bed) Signal(s syscall.Signal) { require.NoError(b.T, b.process.Process.Signal(s)) }
 
@@ -273,6 +276,7 @@
 		Size                                                           float64
 	}
 	Front struct{ Expired int }
+	Takes int // descriptors that it may have open, where others may stand beside it
 }
 
 // Answers are the program's counts of one front.
@@ -376,6 +380,14 @@
 	return c
 }
 
+// Knock connects and starts, and tells whether it was let in: not if the program closes or refuses.
+func (b *Bed) Knock() (c *Client, let bool) {
+	c = &Client{Conn: b.Dial(), t: b.T}
+	c.Write(pg.AppendStartup(nil, "client", "core")) // which may find it closed already
+	r, err := c.next()
+	return c, err == nil && r.Code == ""
+}
+
 // Send writes bytes.
 func (c *Client) Send(b []byte) {
 	_, err := c.Write(b)
@@ -385,6 +397,12 @@
 // Next reads the next answer.
 func (c *Client) Next() pg.Reply {
 	c.t.Helper()
+	r, err := c.next()
+	require.NoError(c.t, err)
+	return r
+}
+
+func (c *Client) next() (pg.Reply, error) {
 	link := pg.NewLink(8<<20, 8<<20, 8<<20)
 	if c.started { // as the link sees it: the answer to the startup ends with the first ReadyForQuery
 		link.Resume()
@@ -393,15 +411,19 @@
 	for {
 		for i := range c.ahead { // byte by byte, since a link takes what follows a reply for unasked
 			r, done, err := link.Feed(c.ahead[i : i+1])
-			require.NoError(c.t, err)
+			if err != nil {
+				return r, err
+			}
 			if done {
 				c.ahead, c.started = c.ahead[i+1:], true
-				return r
+				return r, nil
 			}
 		}
 		c.SetReadDeadline(time.Now().Add(Patience))
 		n, err := c.Read(buf)
-		require.NoError(c.t, err)
+		if err != nil {
+			return pg.Reply{}, err
+		}
 		c.ahead = buf[:n]
 	}
 }
