Refuse the longest wait where many requests wait and none was sent

From 12 to 18 s the primary is banned and restarted: no one may be sent a write. Payments wait 1.5 s, half of their time, each on its caller's connection, and callers ask up to four times: the payments alone fill the third of the descriptors that callers may hold, and history, which could be served, finds none. Ruled out: the pooler turning connections away (TurnedAway 0), its own share of descriptors (Capped 0).

Change: internal/hold, a bounded queue in order of arrival, and core.relieve: at most a sixth of the descriptors wait with nothing sent, half of what callers may hold; beyond that the longest wait is refused at once, with the aim as the time to come back, as all refusals are. The oldest goes, as the newest may still be answered within the time it is wanted in. What has been sent is not touched.

Test: TestManyWaiting, with callers of the shipped program; without the bound none is refused.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"capercove/choice"
+	"capercove/internal/hold"
 	"capercove/internal/limits"
 	"capercove/internal/wheel"
 )
@@ -79,6 +80,7 @@
 
 	id       choice.RequestID
 	deadline time.Duration
+	aim      time.Duration // of its class as it came
 	attempts []*Attempt
 	out      int
 	routed   int // the router's class
@@ -120,6 +122,7 @@
 	Fronts                              map[string]map[string]*Answers // by front and class
 	Written                             int64                          // attempts written whole to databases
 	Reloads, ReloadErrors               int64                          // configurations taken and turned down
+	Relieved                            int64                          // refused as too many waited, sent nowhere yet
 	Overdue                             int64                          // failed by the core's own guard: a fault in this program
 	Attempts, Cancelled                 int64
 	Served, Errors, Full, TimedOut      int64 // how attempts ended, as choice.Status
@@ -165,7 +168,8 @@
 	requests map[choice.RequestID]*Request
 	names    map[string]struct{} // of the open requests
 	last     choice.RequestID
-	door     *fair // nil: all come in at once
+	door     *fair                        // nil: all come in at once
+	held     hold.Queue[choice.RequestID] // with the router, and sent nowhere yet
 	events   []choice.Event
 	actions  []choice.Action
 }
@@ -266,7 +270,7 @@
 	c.last++
 	q.id = c.last
 	expires := max(q.Expires-c.limits.Margin, 0)
-	q.deadline = c.clock() + expires
+	q.deadline, q.aim = c.clock()+expires, c.settings.Classes[q.Class].Aim
 	c.requests[q.id] = q
 	q.routed = c.route(q)
 	c.names[q.Name] = struct{}{}
@@ -291,6 +295,7 @@
 
 // arrive hands a request to the router.
 func (c *Core) arrive(q *Request, expires time.Duration) {
+	c.held.Enter(q.id)
 	c.events = append(c.events, choice.Event{Kind: choice.RequestArrived, Request: q.id, Arrival: choice.Arrival{
 		Class: q.routed, Group: q.Group, Session: q.Session, Expires: expires, Work: q.Work, LastWrite: q.LastWrite}})
 }
@@ -326,6 +331,7 @@
 func (c *Core) finish(q *Request) {
 	q.done = true
 	q.guard.Stop()
+	c.held.Leave(q.id)
 	c.outside(q)
 	delete(c.names, q.Name)
 	c.forget(q)
@@ -536,6 +542,21 @@
 	for _, a := range c.actions {
 		c.act(a)
 	}
+	c.relieve()
+}
+
+// relieve gives up what waits beyond the bound, from the longest wait on. None of it was sent anywhere, so it is refused.
+func (c *Core) relieve() {
+	for id, over := c.held.Over(c.limits.Held); over; id, over = c.held.Over(c.limits.Held) {
+		q := c.requests[id]
+		c.Count.Relieved++
+		c.push(choice.Event{Kind: choice.ClientGone, Request: id})
+		c.shed(q)
+		after := c.advise(q, min(q.aim, c.settings.MaxRetryAfter))
+		c.finish(q)
+		q.count.Refused++
+		q.Client.Refused(after)
+	}
 }
 
 func (c *Core) act(a choice.Action) {
@@ -586,6 +607,7 @@
 	}
 	q.attempts = append(q.attempts, try)
 	q.out++
+	c.held.Leave(q.id)
 	if q.done || q.began != nil {
 		c.Done(try, choice.NotSent, choice.Evidence{}, nil)
 		return
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -17,6 +17,7 @@
 	Servers       int   // connections to databases, dials included
 	IdleEach      int   // idle connections kept to one database
 	Requests      int   // requests open at once; a further one is refused
+	Held          int   // ... that wait and have been sent nowhere; the one that has waited longest is refused
 	Pipeline      int   // commands of one client connection that await their answers
 	MessageBytes  int   // longest message held whole, from a client or a database
 	AnswerWhole   int   // a database's value up to this is held whole, a longer one is passed on in pieces
@@ -114,6 +115,7 @@
 		Servers:       servers,
 		IdleEach:      24,
 		Requests:      20000,
+		Held:          m.Sockets / 6, // callers hold a third at most, each busy with one request
 		Pipeline:      8,
 		MessageBytes:  256 << 10,
 		AnswerWhole:   64 << 10,
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -71,6 +71,34 @@
 	b.Counters(func(c testbed.Counters) bool { return c.Core.Size < 0.97 && c.Core.Size > 0.9 })
 }
 
+// While no primary is known, writes wait; but no more of them than leave their callers connections for other requests. Those
+// that have waited longest are refused, with a time to come back, and the others are served once there is a primary.
+func TestManyWaiting(t *testing.T) {
+	b := testbed.Start(t, func(b *testbed.Bed) { b.Sockets = 128 })
+	const held = 128 / 6
+	b.Databases[0].Lead(false)
+	first := b.Client()
+	first.Send(pg.AppendQuery(nil, b.Statement("write", "first", testbed.Patience)))
+	b.Eventually(func() bool { return len(b.Databases[0].Got()) > 0 }, "it is turned away, and the program knows of no primary")
+	var clients []*testbed.Client
+	for range held + 15 {
+		c := b.Client()
+		c.Send(pg.AppendQuery(nil, b.Statement("write", "waits", testbed.Patience)))
+		clients = append(clients, c)
+		b.Counters(func(c testbed.Counters) bool { return c.Core.Fronts["postgres"].Taken == 1+len(clients) })
+	}
+	for _, c := range clients[:15] {
+		r := c.Next()
+		require.Equal(t, pg.CodeFull, r.Code)
+		require.Regexp(t, `^[1-9]\d*$`, r.Detail)
+	}
+	require.True(t, b.Client().Ask(b.Statement("report", "a", testbed.Patience)).Complete)
+	b.Databases[0].Lead(true)
+	for _, c := range append(clients[15:], first) {
+		require.Equal(t, "from db-0", string(c.Next().Value))
+	}
+}
+
 // A refusal is 53300 with a number in D; a write that may have run is failed and sent once; a read is sent again.
 func TestFinalAnswers(t *testing.T) {
 	b := testbed.Start(t)
