--- /dev/null
+++ b/internal/fleet/view.go
@@ -0,0 +1,403 @@
+// Package fleet holds what the poolers of an installation know together: who lives, and what each observes. This file is the
+// pure part: no clock, goroutine or I/O. A View is a join-semilattice: merging is commutative, associative and
+// idempotent, so that poolers that have heard the same, in any order and any number of times, hold the same.
+package fleet
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/binary"
+	"fmt"
+	"hash/fnv"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Kind tells what a fact is of.
+type Kind uint8
+
+const (
+	OfPooler   Kind = iota // of its owner; it has no subject
+	OfDatabase             // what its owner observes of the database that is the subject
+)
+
+// Key names a fact among its owner's.
+type Key struct {
+	Kind    Kind
+	Subject string // a database's id
+}
+
+// Fact is one thing that its owner says. The owner alone makes facts of its own, each with a higher sequence than all before it
+// in the same incarnation.
+type Fact struct {
+	Owner       string // a pooler's name
+	Incarnation uint64 // of the owner: higher after each restart, as it begins with the Unix time in milliseconds
+	Sequence    uint64
+	Key         Key
+	At          time.Duration // since the Unix epoch, on the owner's clock
+	Value       []byte        // opaque here
+}
+
+// End says that an incarnation of a pooler, and all before it, are gone.
+type End struct {
+	Owner       string
+	Incarnation uint64
+	At          time.Duration // when it was found, on the clock of who found it
+}
+
+// Delta is what one pooler tells another.
+type Delta struct {
+	Facts []Fact
+	Ends  []End
+}
+
+// Empty tells whether there is nothing in it.
+func (d Delta) Empty() bool { return len(d.Facts)+len(d.Ends) == 0 }
+
+// Bounds are what a view holds and takes in.
+type Bounds struct {
+	Owners  int           // poolers that are remembered, gone ones included
+	Says    int           // facts that an author says at once
+	Facts   int           // of one owner that are held: as databases come and go, more than it says at once
+	Value   int           // bytes
+	Name    int           // bytes of an owner's or a subject's name
+	Forget  time.Duration // facts older than this are not taken in, and an end is remembered for twice as long
+	Ahead   time.Duration // nor are those further in the future
+	Between time.Duration // an owner says each fact again this often at the latest; a fraction of Forget
+}
+
+// DefaultBounds are for some 300 poolers and 120 databases.
+func DefaultBounds() Bounds {
+	return Bounds{Owners: 1024, Says: 256, Facts: 1024, Value: 512, Name: 128, Forget: 10 * time.Minute, Ahead: time.Minute,
+		Between: 2 * time.Minute}
+}
+
+// owner is what is known of one pooler: of its highest incarnation alone. In order: a higher incarnation is above a lower one,
+// and within one its end is above all that it has said.
+type owner struct {
+	incarnation uint64
+	gone        bool
+	at          time.Duration // of the end
+	facts       map[Key]Fact
+}
+
+// View is what one pooler knows. It is not safe for concurrent use.
+type View struct {
+	Count Counters
+
+	bounds Bounds
+	owners map[string]*owner
+	digest uint64 // the sum of the hashes of all entries, so that it needs no order
+}
+
+// Counters count what was turned down.
+type Counters struct {
+	Old, Ahead, Large, Crowd int64 // too old or of the past; of the future; too large; more than is held
+}
+
+// NewView returns a view that knows nothing.
+func NewView(b Bounds) *View { return &View{bounds: b, owners: map[string]*owner{}} }
+
+// Digest is equal for views that hold the same; others differ but for a chance of one in 2^64.
+func (v *View) Digest() uint64 { return v.digest }
+
+// Merge takes in what another pooler tells, and returns what of it was new: that is to be told on, nothing else.
+func (v *View) Merge(now time.Duration, d Delta) (news Delta) {
+	for _, f := range d.Facts {
+		if v.fact(now, f) {
+			news.Facts = append(news.Facts, f)
+		}
+	}
+	for _, e := range d.Ends {
+		if v.end(now, e) {
+			news.Ends = append(news.Ends, e)
+		}
+	}
+	return news
+}
+
+// fact takes in one fact and tells whether it was new.
+func (v *View) fact(now time.Duration, f Fact) bool {
+	switch {
+	case len(f.Value) > v.bounds.Value || len(f.Owner) > v.bounds.Name || len(f.Key.Subject) > v.bounds.Name || f.Owner == "" ||
+		(f.Key.Kind == OfDatabase) == (f.Key.Subject == "") || f.Key.Kind > OfDatabase:
+		v.Count.Large++
+		return false
+	case f.At > now+v.bounds.Ahead || v.ahead(now, f.Incarnation): // Against a wrong clock: it would be the newest for ever.
+		v.Count.Ahead++
+		return false
+	case f.At < now-v.bounds.Forget: // Against the return of what has been forgotten since.
+		v.Count.Old++
+		return false
+	}
+	o := v.owners[f.Owner]
+	switch {
+	case o == nil:
+		if !v.room() {
+			return false
+		}
+		o = &owner{incarnation: f.Incarnation, facts: map[Key]Fact{}}
+		v.owners[f.Owner] = o
+	case f.Incarnation < o.incarnation || f.Incarnation == o.incarnation && o.gone:
+		v.Count.Old++
+		return false
+	case f.Incarnation > o.incarnation: // It has restarted: what it said before is void, and so is its end.
+		v.clear(f.Owner, o)
+		o.incarnation, o.gone, o.at = f.Incarnation, false, 0
+	}
+	had, known := o.facts[f.Key]
+	switch {
+	case !known && len(o.facts) >= v.bounds.Facts:
+		v.Count.Crowd++
+		return false
+	case known && !above(f, had):
+		return false
+	case known:
+		v.digest -= had.hash()
+	}
+	f.Value = bytes.Clone(f.Value)
+	o.facts[f.Key] = f
+	v.digest += f.hash()
+	return true
+}
+
+// ahead tells whether an incarnation cannot have begun yet. A refuted end makes it a little higher than its start.
+func (v *View) ahead(now time.Duration, incarnation uint64) bool {
+	return incarnation > uint64((now + 2*v.bounds.Ahead).Milliseconds())
+}
+
+// above orders facts of one owner, incarnation and key. An owner makes no two with one sequence; if one does, as when two
+// processes bear its name, the larger text stands, at every pooler alike.
+func above(f, had Fact) bool {
+	return cmp.Or(cmp.Compare(f.Sequence, had.Sequence), cmp.Compare(f.At, had.At), bytes.Compare(f.Value, had.Value)) > 0
+}
+
+// end takes in the end of an incarnation and tells whether it was new.
+func (v *View) end(now time.Duration, e End) bool {
+	switch {
+	case e.Owner == "" || len(e.Owner) > v.bounds.Name:
+		v.Count.Large++
+		return false
+	case e.At > now+v.bounds.Ahead || v.ahead(now, e.Incarnation):
+		v.Count.Ahead++
+		return false
+	case e.At < now-2*v.bounds.Forget:
+		v.Count.Old++
+		return false
+	}
+	o := v.owners[e.Owner]
+	if o == nil {
+		if !v.room() {
+			return false
+		}
+		o = &owner{facts: map[Key]Fact{}}
+		v.owners[e.Owner] = o
+	} else if e.Incarnation < o.incarnation {
+		v.Count.Old++
+		return false
+	} else if e.Incarnation == o.incarnation && o.gone {
+		if e.At > o.at { // found twice: it is remembered from the later time on, everywhere
+			v.digest += endHash(e.Owner, e.Incarnation, e.At) - endHash(e.Owner, o.incarnation, o.at)
+			o.at = e.At
+			return true
+		}
+		return false
+	}
+	v.clear(e.Owner, o)
+	o.incarnation, o.gone, o.at = e.Incarnation, true, e.At
+	v.digest += endHash(e.Owner, e.Incarnation, e.At)
+	return true
+}
+
+// room tells whether one more owner may be remembered. Against names made up without end.
+func (v *View) room() bool {
+	if len(v.owners) < v.bounds.Owners {
+		return true
+	}
+	v.Count.Crowd++
+	return false
+}
+
+// clear forgets all that an owner has said.
+func (v *View) clear(name string, o *owner) {
+	for _, f := range o.facts {
+		v.digest -= f.hash()
+	}
+	if o.gone {
+		v.digest -= endHash(name, o.incarnation, o.at)
+	}
+	clear(o.facts)
+}
+
+// Forget drops what is older than the bounds allow: facts that their owner no longer repeats, and ends for which no fact can
+// come any more. What it drops cannot come back: it would be turned down as too old.
+func (v *View) Forget(now time.Duration) {
+	for name, o := range v.owners {
+		for key, f := range o.facts {
+			if f.At < now-v.bounds.Forget {
+				v.digest -= f.hash()
+				delete(o.facts, key)
+			}
+		}
+		if o.gone && o.at < now-2*v.bounds.Forget || !o.gone && len(o.facts) == 0 {
+			v.clear(name, o)
+			delete(v.owners, name)
+		}
+	}
+}
+
+// Live are the names of the poolers that are there as far as is known, sorted.
+func (v *View) Live() []string {
+	var names []string
+	for name, o := range v.owners {
+		if !o.gone {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Incarnation is the highest one known of a pooler, and whether it is gone; 0 where nothing is known.
+func (v *View) Incarnation(name string) (incarnation uint64, gone bool) {
+	if o := v.owners[name]; o != nil {
+		return o.incarnation, o.gone
+	}
+	return 0, false
+}
+
+// Of returns what live poolers say under a key, by their names in order.
+func (v *View) Of(key Key) []Fact {
+	var facts []Fact
+	for _, name := range v.Live() {
+		if f, said := v.owners[name].facts[key]; said {
+			facts = append(facts, f)
+		}
+	}
+	return facts
+}
+
+// All returns everything, in a fixed order, to be told to one who knows nothing.
+func (v *View) All() (d Delta) {
+	for _, name := range slices.Sorted(maps.Keys(v.owners)) {
+		o := v.owners[name]
+		if o.gone {
+			d.Ends = append(d.Ends, End{Owner: name, Incarnation: o.incarnation, At: o.at})
+		}
+		keys := slices.SortedFunc(maps.Keys(o.facts), func(a, b Key) int {
+			return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Subject, b.Subject))
+		})
+		for _, key := range keys {
+			d.Facts = append(d.Facts, o.facts[key])
+		}
+	}
+	return d
+}
+
+// Summary is a hash for each pooler that is known, so that two views find with little talk where they differ.
+func (v *View) Summary() map[string]uint64 {
+	sums := make(map[string]uint64, len(v.owners))
+	for name, o := range v.owners {
+		sum := uint64(0)
+		if o.gone {
+			sum = endHash(name, o.incarnation, o.at)
+		}
+		for _, f := range o.facts {
+			sum += f.hash()
+		}
+		sums[name] = sum
+	}
+	return sums
+}
+
+// Missing returns what one with that summary lacks, or has otherwise.
+func (v *View) Missing(summary map[string]uint64) (d Delta) {
+	all, own := v.All(), v.Summary()
+	differs := func(name string) bool {
+		sum, known := summary[name]
+		return !known || sum != own[name]
+	}
+	d.Facts = slices.DeleteFunc(all.Facts, func(f Fact) bool { return !differs(f.Owner) })
+	d.Ends = slices.DeleteFunc(all.Ends, func(e End) bool { return !differs(e.Owner) })
+	return d
+}
+
+func (f Fact) hash() uint64 {
+	h := fnv.New64a()
+	fmt.Fprintf(h, "%q %d %d %d %q %d ", f.Owner, f.Incarnation, f.Sequence, f.Key.Kind, f.Key.Subject, f.At)
+	h.Write(f.Value)
+	return spread(h.Sum64())
+}
+
+func endHash(owner string, incarnation uint64, at time.Duration) uint64 {
+	h := fnv.New64a()
+	h.Write(binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64([]byte(owner+"\x00end"), incarnation), uint64(at)))
+	return spread(h.Sum64())
+}
+
+// spread makes sums of hashes as good as hashes: FNV's last bytes move its low bits alone.
+func spread(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// Author makes the facts of one pooler.
+type Author struct {
+	name        string
+	incarnation uint64
+	sequence    uint64
+	said        map[Key]Fact
+	bounds      Bounds
+}
+
+// NewAuthor returns the author of an incarnation, which must be higher than all that were known of the name.
+func NewAuthor(name string, incarnation uint64, b Bounds) *Author {
+	return &Author{name: name, incarnation: incarnation, said: map[Key]Fact{}, bounds: b}
+}
+
+// Incarnation is the author's.
+func (a *Author) Incarnation() uint64 { return a.incarnation }
+
+// Say returns the facts that are to be told on: of these values those that have changed, or are to be said again so
+// that nobody forgets them. What is left out of the values is no longer said, and forgotten in time.
+func (a *Author) Say(now time.Duration, values map[Key][]byte) (d Delta) {
+	maps.DeleteFunc(a.said, func(key Key, _ Fact) bool { _, still := values[key]; return !still })
+	keys := slices.SortedFunc(maps.Keys(values), func(x, y Key) int {
+		return cmp.Or(cmp.Compare(x.Kind, y.Kind), cmp.Compare(x.Subject, y.Subject))
+	})
+	for _, key := range keys[:min(len(keys), a.bounds.Says)] {
+		had, said := a.said[key]
+		if said && bytes.Equal(had.Value, values[key]) && now-had.At < a.bounds.Between {
+			continue
+		}
+		a.sequence++
+		f := Fact{Owner: a.name, Incarnation: a.incarnation, Sequence: a.sequence, Key: key, At: now, Value: bytes.Clone(values[key])}
+		a.said[key] = f
+		d.Facts = append(d.Facts, f)
+	}
+	return d
+}
+
+// Refute takes in what is told of the author's own name. A pooler that is told of its own end while it lives, or that
+// somebody with a higher incarnation bears its name, goes on with one that is higher still, and says all again: it
+// returns true.
+func (a *Author) Refute(d Delta) bool {
+	highest, wrong := a.incarnation, false
+	for _, e := range d.Ends {
+		if e.Owner == a.name && e.Incarnation >= a.incarnation {
+			highest, wrong = max(highest, e.Incarnation), true
+		}
+	}
+	for _, f := range d.Facts {
+		if f.Owner == a.name && f.Incarnation > a.incarnation {
+			highest, wrong = max(highest, f.Incarnation), true
+		}
+	}
+	if wrong {
+		a.incarnation, a.sequence = highest+1, 0
+		clear(a.said)
+	}
+	return wrong
+}
