Let a second copy neither end nor mix with an answer that is already passing

Core.Done took any attempt's end for the request's: with q.began set by one attempt, another that was answered, failed or timed out finished the request, so that the next piece of the answer on its way was turned down and its connection closed (core.go, Done, Unusable); Began let a second attempt take the answer over, which would mix two values; choice.began took the last attempt for the one that answers.

Change: the first attempt whose answer begins to pass has the request; all others are called off, and nothing that they still do counts. AnswerBegan names the attempt.

Test: TestSecondCopyOfALongAnswer, seven ends of the second copy with either attempt first; without the change the answer is cut, or the wrong attempt is called off.

--- a/choice/api.go
+++ b/choice/api.go
@@ -93,7 +93,7 @@
 	Kind    EventKind
 	Request RequestID // Arrival, Outcome, ClientGone
 	Arrival Arrival
-	Outcome Outcome // AttemptDone and ProbeDone
+	Outcome Outcome // AttemptDone and ProbeDone; its Attempt, of AnswerBegan
 	Nodes   []Node  // ListFull, ListChange
 
 	Bans     map[NodeID]time.Duration // BansChanged: the whole set, with the clock time of each ban
@@ -111,7 +111,7 @@
 	ListChange // only the nodes that changed
 	ListFailed // a call for the list failed or the subscription broke
 	TimerFired
-	AnswerBegan     // the only attempt out answers at length: the deadline no longer binds, and its node's work is done
+	AnswerBegan     // an attempt answers at length, all others are called off: the deadline no longer binds, its node's work is done
 	BansChanged     // by the operators
 	SettingsChanged // requests that arrived before keep their class
 )
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -170,7 +170,7 @@
 				place = append(place, q)
 			}
 		case AnswerBegan:
-			r.began(e.Request)
+			r.began(e.Request, e.Outcome.Attempt)
 		case ProbeDone:
 			r.probeDone(&e.Outcome)
 		case ListFull, ListChange:
--- a/choice/operators.go
+++ b/choice/operators.go
@@ -90,10 +90,10 @@
 }
 
 // began takes a request whose answer is on its way out of the open ones, and its attempt out of the node's count.
-func (r *Router) began(id RequestID) {
-	if q := r.requests[id]; q != nil && !q.done && q.out > 0 {
+func (r *Router) began(id RequestID, attempt int) {
+	if q := r.requests[id]; q != nil && !q.done && attempt < len(q.tries) && q.tries[attempt].pending {
 		q.begun = true
-		if t := &q.tries[len(q.tries)-1]; !t.lost {
+		if t := &q.tries[attempt]; !t.lost {
 			t.lost = true
 			r.book(t.n, -1)
 		}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -357,10 +357,15 @@
 // the request. It returns false if the request is over and nothing may be passed on.
 func (c *Core) Began(a *Attempt) bool {
 	q := a.Request
-	if a.done || q.done {
-		return false
+	if a.done || q.done || q.began != nil {
+		return q.began == a && !a.done && !q.done
 	}
 	q.began = a
+	for _, other := range q.attempts { // Against a second copy that ends or mixes with the answer.
+		if other != a {
+			c.cancel(other, choice.Cancelled)
+		}
+	}
 	return true
 }
 
@@ -375,7 +380,7 @@
 	if a.first == 0 {
 		a.first = now
 		q.guard.Stop()
-		c.push(choice.Event{Kind: choice.AnswerBegan, Request: q.id})
+		c.push(choice.Event{Kind: choice.AnswerBegan, Request: q.id, Outcome: choice.Outcome{Attempt: a.number}})
 		q.ran, q.took = true, now-a.sent
 		c.outside(q) // what is left is the client's time, not the databases'
 	}
@@ -416,6 +421,7 @@
 	c.learn(a, status, took)
 	if !q.done {
 		switch {
+		case q.began != nil && q.began != a: // the answer is another attempt's
 		case status == choice.OK:
 			c.finish(q)
 			q.count.Served++
@@ -441,7 +447,7 @@
 // Unusable ends an attempt whose statement the database cannot use, and the request with it. Against a bad client's
 // request being sent again and again, each time at the cost of another database's good name.
 func (c *Core) Unusable(a *Attempt, note choice.Evidence) {
-	if q := a.Request; !a.done && !q.done {
+	if q := a.Request; !a.done && !q.done && (q.began == nil || q.began == a) {
 		c.finish(q)
 		q.count.Failed++
 		q.Client.Failed(Unusable)
--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,125 @@
+package core_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"capercove/choice"
+	"capercove/internal/core"
+	"capercove/internal/limits"
+)
+
+// world drives a core by hand: its clock, and databases that do as the test says.
+type world struct {
+	t    *testing.T
+	now  time.Duration
+	core *core.Core
+	out  []*core.Attempt // sent, in order
+	off  []*core.Attempt // called off
+}
+
+func (w *world) Send(a *core.Attempt)   { w.out = append(w.out, a) }
+func (w *world) Cancel(a *core.Attempt) { w.off = append(w.off, a) }
+func (w *world) Subscribe()             {}
+
+// Probe is answered at once: all keep up.
+func (w *world) Probe(m *core.Member) {
+	role := choice.Replica
+	if m.ID == 1 {
+		role = choice.Primary
+	}
+	w.core.Probed(m, choice.OK, 0, choice.Evidence{Role: role, Position: w.now})
+}
+
+func newWorld(t *testing.T) *world {
+	w := &world{t: t, now: 1_800_000_000 * time.Second}
+	s := choice.Settings{Routers: 1, MaxAttempts: 4, CanCancel: true, CanProbe: true, CanHedge: true, DrainGrace: time.Second,
+		ColdShare: 0.2, ColdTime: 10 * time.Second, FallMultiple: 3, FallWindow: time.Second, Classes: []choice.Class{
+			{Read: choice.AnyRead, Aim: 200 * time.Millisecond, Deadline: 5 * time.Second, Worth: 1, LateWorth: 0.2}}}
+	l := limits.For(limits.Machine{MemoryMB: 64, Sockets: 256}, 250*time.Millisecond, 15*time.Second, 5*time.Second)
+	w.core = core.New(core.Settings{Settings: s, Names: []string{"read"}}, 1, l, zerolog.Nop(),
+		func() time.Duration { return w.now }, func() {}, func() {})
+	w.core.Attach(w, w)
+	w.core.Start()
+	var list []core.Member
+	for id := choice.NodeID(1); id <= 3; id++ {
+		list = append(list, core.Member{Node: choice.Node{ID: id, State: choice.Ready, Group: 1}})
+	}
+	w.core.List(list, true)
+	w.pass(50 * time.Millisecond)
+	return w
+}
+
+// pass lets time pass.
+func (w *world) pass(d time.Duration) {
+	for end := w.now + d; w.now < end; {
+		w.now += 5 * time.Millisecond
+		w.core.Tick()
+		w.core.Flush()
+	}
+}
+
+// client keeps what it was given.
+type client struct {
+	pieces  string
+	answers []string
+}
+
+func (c *client) Served(answer any)             { c.answers = append(c.answers, "served "+answer.(string)) }
+func (c *client) Refused(time.Duration)         { c.answers = append(c.answers, "refused") }
+func (c *client) Failed(core.Failure)           { c.answers = append(c.answers, "failed") }
+func (c *client) Piece(b []byte, _ func()) bool { c.pieces += string(b); return true }
+
+// hedged returns a request of which two attempts are out, at two databases.
+func hedged(t *testing.T) (*world, *client, *core.Attempt, *core.Attempt) {
+	w, c := newWorld(t), &client{}
+	w.core.Submit(&core.Request{Front: "test", Name: "x", Group: 1, Expires: 5 * time.Second, Backend: w, Client: c})
+	w.core.Flush()
+	require.Len(t, w.out, 1)
+	w.pass(time.Second) // nothing is heard of the first
+	require.Len(t, w.out, 2)
+	require.NotEqual(t, w.out[0].Member.ID, w.out[1].Member.ID)
+	return w, c, w.out[0], w.out[1]
+}
+
+// Once the answer of one attempt has begun to pass, it is the request's answer: a second copy is called off, and whatever still
+// comes of it changes nothing. It must neither end the answer nor be mixed into it.
+func TestSecondCopyOfALongAnswer(t *testing.T) {
+	for what, late := range map[string]func(w *world, b *core.Attempt){
+		"is answered":    func(w *world, b *core.Attempt) { w.core.Done(b, choice.OK, choice.Evidence{}, "whole") },
+		"fails":          func(w *world, b *core.Attempt) { w.core.Done(b, choice.NodeError, choice.Evidence{}, nil) },
+		"breaks":         func(w *world, b *core.Attempt) { w.core.Done(b, choice.BrokenOff, choice.Evidence{}, nil) },
+		"cannot be used": func(w *world, b *core.Attempt) { w.core.Unusable(b, choice.Evidence{}) },
+		"begins to pass": func(w *world, b *core.Attempt) {
+			_, ok := w.core.Piece(b, []byte("other"), func() {})
+			require.False(t, ok)
+		},
+		"begins, as others": func(w *world, b *core.Attempt) { require.False(t, w.core.Began(b)) },
+		"is heard no more":  func(*world, *core.Attempt) {},
+	} {
+		for _, first := range []int{0, 1} {
+			w, c, a, b := hedged(t)
+			if first == 1 {
+				a, b = b, a
+			}
+			_, ok := w.core.Piece(a, []byte("one "), func() {})
+			require.True(t, ok, what)
+			late(w, b)
+			w.core.Flush()
+			require.Equal(t, []*core.Attempt{b}, w.off, what)
+			_, ok = w.core.Piece(a, []byte("two "), func() {})
+			require.True(t, ok, what)
+			w.pass(6 * time.Second) // past the deadline, which binds no more
+			_, ok = w.core.Piece(a, []byte("three"), func() {})
+			require.True(t, ok, what)
+			w.core.Done(a, choice.OK, choice.Evidence{Role: choice.Replica, Position: w.now}, "")
+			w.core.Flush()
+			require.Equal(t, "one two three", c.pieces, what)
+			require.Equal(t, []string{"served "}, c.answers, what)
+			require.Zero(t, w.core.Open(), what)
+		}
+	}
+}
