--- /dev/null
+++ b/internal/fleet/talk.go
@@ -0,0 +1,134 @@
+package fleet
+
+import (
+	"cmp"
+	"math/bits"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// TalkBounds are how much a pooler says.
+type TalkBounds struct {
+	Peers      int           // that are told news in one period
+	News       int           // bytes of news for each of them: what a datagram holds
+	Exchange   int           // bytes of one answer to a summary, over a stream
+	Every      time.Duration // a summary is sent to somebody this often
+	Remembered int           // news that wait to be told; beyond that the ones told most often are left to the exchanges
+}
+
+// DefaultTalk is for some 300 poolers and periods of 200 ms.
+func DefaultTalk() TalkBounds {
+	return TalkBounds{Peers: 3, News: 1200, Exchange: 256 << 10, Every: 2 * time.Second, Remembered: 4096}
+}
+
+// Message is what one pooler sends another.
+type Message struct {
+	To      string
+	News    Delta
+	Summary map[string]uint64 // asks for what it lacks; nil: asks for nothing
+}
+
+// news is one fact or end that is still told on.
+type news struct {
+	one  Delta
+	size int
+	told int
+}
+
+// Talk decides what a pooler tells whom: news to a few peers a period, each as often as it takes to reach all, and a summary to
+// one peer now and then, so that what was lost is made good and sides of a cut that is over find together. It is pure: the
+// time, the peers and chance are handed to it.
+type Talk struct {
+	View   *View
+	Author *Author
+
+	bounds TalkBounds
+	random *rand.Rand
+	news   []news
+	asked  time.Duration // when a summary was last sent
+	from   int           // where the next answer to a summary begins
+}
+
+// NewTalk returns the talk of a pooler that knows nothing yet.
+func NewTalk(v *View, a *Author, b TalkBounds, random *rand.Rand) *Talk {
+	return &Talk{View: v, Author: a, bounds: b, random: random}
+}
+
+// size is about what an entry takes on the wire.
+func (f Fact) size() int { return len(f.Owner) + len(f.Key.Subject) + len(f.Value) + 32 }
+func (e End) size() int  { return len(e.Owner) + 24 }
+
+// Hear takes in what a peer tells. What is new is told on; what tells of the pooler itself is refuted.
+func (t *Talk) Hear(now time.Duration, d Delta) {
+	t.tell(t.View.Merge(now, d))
+	t.Author.Refute(d) // what it says from then on is said in the next period
+}
+
+func (t *Talk) tell(d Delta) {
+	for _, f := range d.Facts {
+		t.news = append(t.news, news{Delta{Facts: []Fact{f}}, f.size(), 0})
+	}
+	for _, e := range d.Ends {
+		t.news = append(t.news, news{Delta{Ends: []End{e}}, e.size(), 0})
+	}
+}
+
+// Found takes in that the pooler itself has found the present incarnation of another to be gone.
+func (t *Talk) Found(now time.Duration, name string) {
+	if incarnation, gone := t.View.Incarnation(name); incarnation > 0 && !gone {
+		t.tell(t.View.Merge(now, Delta{Ends: []End{{Owner: name, Incarnation: incarnation, At: now}}}))
+	}
+}
+
+// Period is what is sent in one period: values are what the pooler says of itself and of databases now, peers are those that it
+// may reach.
+func (t *Talk) Period(now time.Duration, values map[Key][]byte, peers []string) (out []Message) {
+	t.tell(t.View.Merge(now, t.Author.Say(now, values)))
+	if len(peers) == 0 {
+		return nil
+	}
+	// Told least first: fresh news goes before what most have heard.
+	slices.SortStableFunc(t.news, func(a, b news) int { return cmp.Compare(a.told, b.told) })
+	t.news = t.news[:min(len(t.news), t.bounds.Remembered)]
+	for _, i := range t.random.Perm(len(peers))[:min(t.bounds.Peers, len(peers))] {
+		m, left := Message{To: peers[i]}, t.bounds.News
+		for k := range t.news {
+			n := &t.news[k]
+			if n.size > left {
+				continue
+			}
+			left -= n.size
+			n.told++
+			m.News.Facts = append(m.News.Facts, n.one.Facts...)
+			m.News.Ends = append(m.News.Ends, n.one.Ends...)
+		}
+		if !m.News.Empty() {
+			out = append(out, m)
+		}
+	}
+	often := 2 * bits.Len(uint(len(peers))) // as epidemics go: a few times the logarithm reaches nearly all
+	t.news = slices.DeleteFunc(t.news, func(n news) bool { return n.told >= often })
+	if now-t.asked >= t.bounds.Every {
+		t.asked = now
+		out = append(out, Message{To: peers[t.random.IntN(len(peers))], Summary: t.View.Summary()})
+	}
+	return out
+}
+
+// Answer is what one with that summary lacks, as much as one answer holds: it begins at another place each time, so that who
+// asks often enough gets all.
+func (t *Talk) Answer(summary map[string]uint64) (d Delta) {
+	missing := t.View.Missing(summary)
+	d.Ends = missing.Ends
+	left := t.bounds.Exchange
+	for range len(missing.Facts) {
+		f := missing.Facts[t.from%len(missing.Facts)]
+		if left -= f.size(); left < 0 {
+			break
+		}
+		t.from++
+		d.Facts = append(d.Facts, f)
+	}
+	return d
+}
