Let poolers find each other and keep a view of the fleet together, off unless asked for

Need: nobody can tell which poolers live, which are cut off, and whether they agree.

Change: internal/fleet/gossip drives the lattice of facts on hashicorp/memberlist: that finds who is there, the lattice remembers. Table [fleet], checked; GET /fleet on the management address. A pooler joins by seeds that need not be up, tells its leave from a crash, tries those that are gone again, dials from its own address. Off in run: linked, but nothing of it is started. Nothing is decided by the view yet.

Seen on the way: memberlist's event of a leave does not say that it was one, so a pooler says so itself; it hands out records that it changes under the reader's hands, so they are copied; seeds tried only while alone leave two halves apart for good (TestPartition under load, fixed, TestHalvesMeet).

Tests, with relays between: five join by a seed that is not up, two crash, come back, one leaves; cut in two, each side settles, healed, cut again, one way; loss, doubles, late and garbled datagrams; strangers and a second one of a name; and four poolers of the shipped program: joined, SIGKILL and back, SIGSTOP until found gone and on, one cut off, healed, SIGTERM, each serving all the while. With the race detector and beside 8 busy loops.

--- a/cmd/capercove/main.go
+++ b/cmd/capercove/main.go
@@ -23,6 +23,8 @@
 	"capercove/internal/core"
 	"capercove/internal/discovery"
 	"capercove/internal/door"
+	"capercove/internal/fleet"
+	"capercove/internal/fleet/gossip"
 	"capercove/internal/flight"
 	"capercove/internal/intake"
 	"capercove/internal/limits"
@@ -53,6 +55,7 @@
 	Pcap       pcap.Config      `toml:"pcap"`
 	Door       door.Config      `toml:"door"`
 	Statements statement.Config `toml:"statements"`
+	Fleet      gossip.Config    `toml:"fleet"`
 }
 
 // defaults is what an empty file means: all off.
@@ -76,6 +79,7 @@
 	front  *net.Front
 	flight *flight.Front // nil while it is off, as the next two
 	store  store.Store
+	fleet  *gossip.Gossip
 	tap    *pcap.Writer
 	stops  chan struct{} // closed on SIGTERM
 	beside *share.Beside // the loop's to begin with, then the goroutine's that settles; nil where it stands alone
@@ -181,6 +185,14 @@
 			Do: p.driver.Do, Stop: p.stops}
 		go replay.Run()
 	}
+	if own.Fleet.Enabled {
+		says := fmt.Sprintf(`{"since_ms":%d,"listen":%q}`, time.Now().UnixMilli(), cfg.Listen)
+		if p.fleet, err = gossip.Start(cfg.Name, own.Fleet, gossip.DefaultPace(), log, clock(), func() map[fleet.Key][]byte {
+			return map[fleet.Key][]byte{{}: []byte(says)}
+		}); err != nil {
+			return err
+		}
+	}
 	go p.signals(signals)
 	log.Info().Str("listen", cfg.Listen).Int("members", len(cfg.Known.Members)).Msg("starting")
 	start := func() {
@@ -199,6 +211,9 @@
 		return fmt.Errorf("event loop: %w", err)
 	}
 	p.counters("stopped")
+	if p.fleet != nil {
+		p.fleet.Stop(l.FleetLeave)
+	}
 	if p.tap != nil {
 		p.tap.Close()
 	}
@@ -227,6 +242,13 @@
 
 func (o operator) Figures() core.Figures { return o.p.core.Figures() }
 
+func (o operator) Fleet() any {
+	if o.p.fleet == nil {
+		return nil
+	}
+	return o.p.fleet.State()
+}
+
 func (o operator) Statements() *management.Statements {
 	found := make(chan *management.Statements, 1)
 	o.p.driver.Do(func() {
@@ -357,7 +379,8 @@
 		"limits": c.Machine != p.config.Machine, "management": c.Management != p.config.Management,
 		"settings.zones": !slices.Equal(c.Facts.Zones, p.config.Facts.Zones),
 		"flight":         !reflect.DeepEqual(own.Flight, p.own.Flight), "store": !reflect.DeepEqual(own.Store, p.own.Store),
-		"pcap": own.Pcap != p.own.Pcap, "door.enabled": own.Door.Enabled != p.own.Door.Enabled} {
+		"fleet": !reflect.DeepEqual(own.Fleet, p.own.Fleet),
+		"pcap":  own.Pcap != p.own.Pcap, "door.enabled": own.Door.Enabled != p.own.Door.Enabled} {
 		if changed {
 			p.log.Warn().Str("key", key).Msg("reload: changed, but counts only from the next start on")
 		}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -78,6 +78,7 @@
 	Share          time.Duration // what processes beside each other may have open is settled this often
 	OperatorHead   time.Duration // an operator's call has come by then
 	OperatorCall   time.Duration // and is answered by then
+	FleetLeave     time.Duration // the other poolers are told of the end by then
 	StoreEvery     time.Duration // the state is stored this often
 	StoreWait      time.Duration // for one change of the store
 	LogEvery       time.Duration // at most one line a kind of bad input in this time
@@ -176,6 +177,7 @@
 		OperatorHead:   time.Second,
 		OperatorCall:   900 * time.Millisecond,
 		Share:          50 * time.Millisecond,
+		FleetLeave:     300 * time.Millisecond,
 		StoreEvery:     2 * time.Second,
 		StoreWait:      2 * time.Second,
 		LogEvery:       time.Second,
--- a/internal/management/management.go
+++ b/internal/management/management.go
@@ -26,6 +26,8 @@
 	Figures() core.Figures
 	// Statements are what was read of them, nil if none are.
 	Statements() *Statements
+	// Fleet is what is known of the other poolers, nil if nothing is.
+	Fleet() any
 	// Ban keeps a database out, or lets it back in. It returns when that holds; known is false if nobody has the name.
 	Ban(name string, banned bool) (known bool, err error)
 }
@@ -51,6 +53,7 @@
 	mux.HandleFunc("GET /api/ready", s.ready)
 	mux.HandleFunc("GET /api/telemetry", s.telemetry)
 	mux.HandleFunc("GET /api/statements", s.statements)
+	mux.HandleFunc("GET /fleet", s.fleet)
 	mux.HandleFunc("PUT /api/exclude/{id}", s.ban(true))
 	mux.HandleFunc("PUT /api/include/{id}", s.ban(false))
 	s.http = &http.Server{Handler: mux, ReadTimeout: l.OperatorHead, WriteTimeout: l.OperatorHead + l.OperatorCall,
@@ -92,6 +95,16 @@
 	w.Write([]byte(b.String()))
 }
 
+func (s *Server) fleet(w http.ResponseWriter, _ *http.Request) {
+	v := s.pooler.Fleet()
+	if v == nil {
+		http.Error(w, "poolers do not talk: [fleet] is off", http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(v)
+}
+
 func (s *Server) statements(w http.ResponseWriter, _ *http.Request) {
 	done := make(chan *Statements, 1)
 	go func() { done <- s.pooler.Statements() }()
