Take ports for tests that are free for TCP and UDP alike

Seen in reading: relays and echoing processes took a TCP port and then the same one for UDP, which another process may have: a test could fail by chance. Change: rig.Listen tries again with another port.

--- a/internal/fleet/gossip/gossip_test.go
+++ b/internal/fleet/gossip/gossip_test.go
@@ -61,10 +61,11 @@
 	for i := range n {
 		name := fmt.Sprint("n", i)
 		own := netip.AddrFrom4([4]byte{127, 78, byte(seed), byte(i + 1)})
-		l, err := net.Listen("tcp", own.String()+":0")
+		l, u, err := rig.Listen(netip.AddrPortFrom(own, 0))
 		require.NoError(t, err)
 		at := l.Addr().(*net.TCPAddr).AddrPort()
 		l.Close()
+		u.Close()
 		m.net.Register(name, own)
 		r, err := m.net.Stand(name, netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 79, byte(seed), byte(i + 1)}), 0), at)
 		require.NoError(t, err)
--- a/internal/fleet/gossip/process_test.go
+++ b/internal/fleet/gossip/process_test.go
@@ -31,10 +31,11 @@
 	own, public, beds := map[string]string{}, map[string]string{}, map[string]*testbed.Bed{}
 	for i, name := range names {
 		addr := netip.AddrFrom4([4]byte{127, 78, 9, byte(i + 1)})
-		l, err := net.Listen("tcp", addr.String()+":0")
+		l, u, err := rig.Listen(netip.AddrPortFrom(addr, 0))
 		require.NoError(t, err)
 		at := l.Addr().(*net.TCPAddr).AddrPort()
 		l.Close()
+		u.Close()
 		n.Register(name, addr)
 		r, err := n.Stand(name, netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 79, 9, byte(i + 1)}), 0), at)
 		require.NoError(t, err)
--- a/internal/rig/relay.go
+++ b/internal/rig/relay.go
@@ -60,12 +60,7 @@
 func (n *Net) Stand(name string, public, private netip.AddrPort) (*Relay, error) {
 	r := &Relay{net: n, name: name, private: private, back: map[netip.AddrPort]*net.UDPConn{}, streams: map[*stream]bool{}}
 	var err error
-	if r.tcp, err = net.Listen("tcp", public.String()); err != nil {
-		return nil, err
-	}
-	at := r.tcp.Addr().(*net.TCPAddr).AddrPort()
-	if r.udp, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(at)); err != nil {
-		r.tcp.Close()
+	if r.tcp, r.udp, err = Listen(public); err != nil {
 		return nil, err
 	}
 	n.mu.Lock()
@@ -76,6 +71,22 @@
 	return r, nil
 }
 
+// Listen listens for TCP and UDP at one address. With port 0 it takes one that is free for both.
+func Listen(at netip.AddrPort) (t net.Listener, u *net.UDPConn, err error) {
+	for range 20 { // Against a port that is free for one alone.
+		if t, err = net.Listen("tcp", at.String()); err != nil {
+			return nil, nil, err
+		}
+		if u, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(t.Addr().(*net.TCPAddr).AddrPort())); err == nil {
+			return t, u, nil
+		}
+		if t.Close(); at.Port() != 0 {
+			break
+		}
+	}
+	return nil, nil, err
+}
+
 // Addr is the public address.
 func (r *Relay) Addr() string { return r.tcp.Addr().String() }
 
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -21,11 +21,9 @@
 
 // echo is a process that answers each datagram and each stream with what came, until the test ends.
 func echo(t *testing.T) netip.AddrPort {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, u, err := rig.Listen(anywhere)
 	require.NoError(t, err)
 	at := l.Addr().(*net.TCPAddr).AddrPort()
-	u, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(at))
-	require.NoError(t, err)
 	t.Cleanup(func() { l.Close(); u.Close() })
 	go func() {
 		for {
