Keep who runs in the course of a schedule of faults in one place

Plan, mend and finish each kept who is down or paused, in three switches of one shape. One run does; the schedules of a seed are others than before.

--- a/internal/rig/schedule.go
+++ b/internal/rig/schedule.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -48,19 +49,15 @@
 // what was killed is restarted; at the end all is healed, resumed and restarted. At least one process runs at any time.
 func Plan(seed uint64, names []string, steps int) (plan []Step) {
 	random := rand.New(rand.NewPCG(seed, 0x5ced))
-	down, paused := map[string]bool{}, map[string]bool{}
+	r := newRun()
 	for len(plan) < steps {
-		one := names[random.IntN(len(names))]
-		other := names[random.IntN(len(names))]
-		what := []What{Cut, OneWay, Lossy, Garble, Split, Healed, Kill, Pause, Resume, Restart}[random.IntN(10)]
-		runs := len(names) - len(down) - len(paused)
-		step := Step{What: what, One: one}
-		switch what {
+		step := Step{What: []What{Cut, OneWay, Lossy, Garble, Split, Healed, Kill, Pause, Resume, Restart}[random.IntN(10)],
+			One: names[random.IntN(len(names))]}
+		switch step.What {
 		case Cut, OneWay, Lossy, Garble:
-			if one == other {
+			if step.Other = names[random.IntN(len(names))]; step.Other == step.One {
 				continue
 			}
-			step.Other = other
 		case Split:
 			sides := slices.Clone(names)
 			random.Shuffle(len(sides), func(i, j int) { sides[i], sides[j] = sides[j], sides[i] })
@@ -69,77 +66,60 @@
 		case Healed:
 			step = Step{What: Healed}
 		case Kill, Pause:
-			if down[one] || paused[one] || runs < 2 {
+			if len(names)-len(r.down)-len(r.paused) < 2 {
 				continue
 			}
-			map[What]map[string]bool{Kill: down, Pause: paused}[what][one] = true
-		case Resume:
-			if !paused[one] {
-				continue
-			}
-			delete(paused, one)
-		case Restart:
-			if !down[one] {
-				continue
-			}
-			delete(down, one)
 		}
-		plan = append(plan, step)
+		if r.step(step) {
+			plan = append(plan, step)
+		}
 	}
-	return append(plan, finish(plan)...)
+	return append(append(plan, Step{What: Healed}), r.finish()...)
 }
 
-// finish is what makes all whole after some steps.
-func finish(plan []Step) (end []Step) {
-	down, paused := map[string]bool{}, map[string]bool{}
-	for _, s := range plan {
-		switch s.What {
-		case Kill:
-			down[s.One] = true
-		case Pause:
-			paused[s.One] = true
-		case Restart:
-			delete(down, s.One)
-		case Resume:
-			delete(paused, s.One)
-		}
+// run keeps who of the processes is down or paused in the course of a schedule.
+type run struct{ down, paused map[string]bool }
+
+func newRun() run { return run{map[string]bool{}, map[string]bool{}} }
+
+// step takes a step, and returns false for one that cannot be carried out now.
+func (r run) step(s Step) bool {
+	down, paused := r.down[s.One], r.paused[s.One]
+	switch {
+	case (s.What == Kill || s.What == Pause) && (down || paused), s.What == Resume && !paused, s.What == Restart && !down:
+		return false
+	case s.What == Kill:
+		r.down[s.One] = true
+	case s.What == Pause:
+		r.paused[s.One] = true
+	case s.What == Restart:
+		delete(r.down, s.One)
+	case s.What == Resume:
+		delete(r.paused, s.One)
 	}
-	end = []Step{{What: Healed}}
-	for _, what := range []What{Resume, Restart} {
-		var names []string
-		for name := range map[What]map[string]bool{Resume: paused, Restart: down}[what] {
-			names = append(names, name)
-		}
-		slices.Sort(names)
-		for _, name := range names {
-			end = append(end, Step{What: what, One: name})
-		}
+	return true
+}
+
+// finish is what makes all run again.
+func (r run) finish() (end []Step) {
+	for _, name := range slices.Sorted(maps.Keys(r.paused)) {
+		end = append(end, Step{What: Resume, One: name})
+	}
+	for _, name := range slices.Sorted(maps.Keys(r.down)) {
+		end = append(end, Step{What: Restart, One: name})
 	}
 	return end
 }
 
 // mend leaves out of some steps those that cannot be carried out any more, and adds what then makes the processes whole.
 func mend(steps []Step) (plan []Step) {
-	down, paused := map[string]bool{}, map[string]bool{}
+	r := newRun()
 	for _, s := range steps {
-		switch {
-		case (s.What == Kill || s.What == Pause) && (down[s.One] || paused[s.One]),
-			s.What == Resume && !paused[s.One], s.What == Restart && !down[s.One]:
-			continue
-		}
-		switch s.What {
-		case Kill:
-			down[s.One] = true
-		case Pause:
-			paused[s.One] = true
-		case Resume:
-			delete(paused, s.One)
-		case Restart:
-			delete(down, s.One)
+		if r.step(s) {
+			plan = append(plan, s)
 		}
-		plan = append(plan, s)
 	}
-	return append(plan, finish(plan)[1:]...)
+	return append(plan, r.finish()...)
 }
 
 // Possible tells whether a schedule can be carried out: only what runs is killed or paused, only what was is restarted or
