Let no accept in the system hold the event loop up when an old process stops at an upgrade

Seen: in a rolling upgrade of four poolers by inherited listener the second old process logged `stopping` and never ended. Its stacks (SIGQUIT): the loop in Driver.Refuse -> net.TCPListener.Close -> poll.FD.Close, waiting; one goroutine in syscall.accept4 since minutes.

Cause: the listening socket is one open file for all processes that hold it, and so is its O_NONBLOCK. Who starts the next process with it may clear the flag (os/exec does, by File.Fd; the new process sets it again when it takes the socket over). An accept that begins in between waits in the system, where Close cannot reach it, and Close waits for it. Lines at fault: driver.go, Refuse, `d.listener.Close()` on the loop.

Ruled out: a lost wake-up of the timer wheel (its timers fired until the stop), a lock of the fleet's part (no goroutine waits for one).

--- a/cmd/capercove/main.go
+++ b/cmd/capercove/main.go
@@ -110,7 +110,7 @@
 
 	p := &program{log: log, config: cfg, shared: cfg.ListenFD > 0, limits: l, beside: beside,
 		stops: make(chan struct{})}
-	listener, err := net.Listen(cfg.ListenFD, cfg.Listen)
+	listener, err := net.Listen(cfg.ListenFD, cfg.Listen, l)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
--- a/internal/management/management_test.go
+++ b/internal/management/management_test.go
@@ -177,6 +177,20 @@
 	require.True(t, b.Client().Ask(b.Statement("write", "a", second)).Complete)
 }
 
+// Who starts a process with the listening socket may make it a blocking one for all that hold it, and an accept that is under way
+// then waits in the system for the next client. The pooler ends all the same when it is told to, and serves until then.
+func TestUpgradeWithABlockingListener(t *testing.T) {
+	b := testbed.Start(t, testbed.WithListener)
+	b.Block()
+	c := b.Client() // the accept behind this one blocks
+	b.Signal(syscall.SIGTERM)
+	ended := make(chan error, 1)
+	go func() { ended <- b.Wait() }()
+	c.Write(pg.AppendQuery(nil, b.Statement("write", "a", second))) // answered, or closed between requests
+	require.NoError(t, <-ended)
+	require.Empty(t, b.Line("the event loop stood still"))
+}
+
 // Two processes that stand beside each other at an upgrade never have more descriptors open than the machine grants, however
 // many clients come and whatever becomes of the elder: it ends as it should, is killed, or hangs and never ends. Then the newer
 // takes what is left.
--- a/internal/net/driver.go
+++ b/internal/net/driver.go
@@ -52,12 +52,17 @@
 // Listen takes over the listening socket that is inherited as a descriptor, or else listens on the address from the
 // first Accept on. An inherited one is others' too: it is neither bound again nor shut down, and closing it
 // closes only this copy.
-func Listen(fd int, addr string) (net.Listener, error) {
+func Listen(fd int, addr string, l limits.Limits) (net.Listener, error) {
 	if fd == 0 {
 		return listenLate(addr)
 	}
 	f := os.NewFile(uintptr(fd), "listener")
 	defer f.Close()
+	// Against an accept that nothing ends: who starts another process with this socket may make it blocking, for all that hold it.
+	wait := unix.NsecToTimeval(l.AcceptBlocks.Nanoseconds())
+	if err := unix.SetsockoptTimeval(fd, unix.SOL_SOCKET, unix.SO_RCVTIMEO, &wait); err != nil {
+		return nil, fmt.Errorf("descriptor %d, the listener: %w", fd, err)
+	}
 	return net.FileListener(f)
 }
 
@@ -133,8 +138,8 @@
 // Refuse stops to accept, and calls then on the loop when all that was accepted is on it. What is not accepted by then
 // is left to whom else the listener belongs to.
 func (d *Driver) Refuse(then func()) {
-	d.listener.Close()
 	go func() {
+		d.listener.Close() // It waits for an accept that is under way; the loop must not.
 		d.accepting.Wait()
 		d.Do(then)
 	}()
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -208,6 +208,9 @@
 	}
 }
 
+// Block makes the inherited listening socket a blocking one, for all processes that hold it, as who starts another one may.
+func (b *Bed) Block() { b.listener.Fd() }
+
 // Call makes an operator's call.
 func (b *Bed) Call(method, path string) (code int, body string) {
 	request, err := http.NewRequest(method, "http://"+b.Management+path, nil)
