--- /dev/null
+++ b/choice/seen.go
@@ -0,0 +1,47 @@
+package choice
+
+import "time"
+
+// Seen is what a router holds of a node by its own evidence, to be shown. Nothing here decides.
+type Seen struct {
+	ID       NodeID
+	Health   Health
+	Cold     bool
+	Primary  bool          // by what nodes said, not by the list
+	Position time.Duration // the last proven one; 0: none
+	Heard    time.Duration // the last answer or report; 0: none
+}
+
+// Health is how a node does.
+type Health uint8
+
+const (
+	Unheard Health = iota // no evidence
+	Sound
+	Mute       // out: it left requests unanswered
+	Failing    // out: it errs, breaks connections or is not reached
+	NoListener // out: no process is there
+)
+
+// Seen appends what the router holds of each node that is not gone, by ID.
+func (r *Router) Seen(out []Seen) []Seen {
+	for _, n := range r.nodes {
+		if n.State == Gone {
+			continue
+		}
+		s := Seen{ID: n.ID, Cold: r.warmth(n) < 1, Primary: n.role == Primary && n.roleAt > 1, Position: n.position,
+			Heard: max(n.answered, n.provenAt)}
+		switch {
+		case n.down && n.mute:
+			s.Health = Mute
+		case n.down && n.died:
+			s.Health = NoListener
+		case n.down:
+			s.Health = Failing
+		case s.Heard > 0:
+			s.Health = Sound
+		}
+		out = append(out, s)
+	}
+	return out
+}
--- a/cmd/capercove/command.go
+++ b/cmd/capercove/command.go
@@ -1,13 +1,17 @@
 package main
 
 import (
+	"encoding/json"
+	"flag"
 	"fmt"
 	"io"
 	"os"
 	"runtime/debug"
+	"time"
 
 	"capercove/internal/config"
 	"capercove/internal/config/tables"
+	"capercove/internal/fleet/gossip"
 )
 
 // command runs a sub-command, if there is one: with no argument the program serves. It returns the exit status.
@@ -17,19 +21,7 @@
 	}
 	switch {
 	case args[0] == "version" && len(args) == 1:
-		version, revision, changed := "devel", "unknown", ""
-		if b, ok := debug.ReadBuildInfo(); ok {
-			version = b.Main.Version
-			for _, s := range b.Settings {
-				switch {
-				case s.Key == "vcs.revision":
-					revision = s.Value
-				case s.Key == "vcs.modified" && s.Value == "true":
-					changed = ", changed since"
-				}
-			}
-			version += " " + b.GoVersion
-		}
+		version, revision, changed := build()
 		fmt.Fprintf(out, "capercove %s, revision %s%s\n", version, revision, changed)
 		return 0, true
 	case args[0] == "check" && len(args) <= 2:
@@ -42,13 +34,71 @@
 		}
 		fmt.Fprintln(out, "good")
 		return 0, true
+	case args[0] == "fleet":
+		if status, ok := showFleet(args[1:], out); ok {
+			return status, true
+		}
 	}
 	fmt.Fprintln(out, "usage: capercove                 serve, as GW_CONFIG and the operators' file say\n"+
 		"       capercove check [FILE]    check the operators' file, and the platform's if GW_CONFIG is set\n"+
+		"       capercove fleet [--all] [--json] ADDR\n"+
+		"                                 the fleet as the pooler managed at ADDR sees it; with --all, whether all see the same\n"+
 		"       capercove version")
 	return 2, true
 }
 
+// build tells which build this is.
+func build() (version, revision, changed string) {
+	version, revision = "devel", "unknown"
+	b, ok := debug.ReadBuildInfo()
+	if !ok {
+		return version, revision, ""
+	}
+	for _, s := range b.Settings {
+		switch {
+		case s.Key == "vcs.revision":
+			revision = s.Value
+		case s.Key == "vcs.modified" && s.Value == "true":
+			changed = ", changed since"
+		}
+	}
+	return b.Main.Version + " " + b.GoVersion, revision, changed
+}
+
+// showFleet prints a pooler's view of the fleet. It returns 0 where the views agree, 1 where they do not, 2 where none is to be had.
+func showFleet(args []string, out io.Writer) (status int, ok bool) {
+	flags := flag.NewFlagSet("fleet", flag.ContinueOnError)
+	flags.SetOutput(io.Discard)
+	all, asJSON := flags.Bool("all", false, ""), flags.Bool("json", false, "")
+	if flags.Parse(args) != nil || flags.NArg() != 1 {
+		return 0, false
+	}
+	s, err := gossip.Ask(flags.Arg(0))
+	if err != nil {
+		fmt.Fprintln(out, err)
+		return 2, true
+	}
+	var shown any = s
+	agree, show := s.Agree, func() { s.Print(out, time.Now()) }
+	if *all {
+		everyone := gossip.AskAll(s)
+		shown, agree, show = everyone, everyone.Agree(), func() { everyone.Print(out, time.Now()) }
+	}
+	if *asJSON {
+		text, err := json.MarshalIndent(shown, "", " ")
+		if err != nil {
+			fmt.Fprintln(out, err)
+			return 2, true
+		}
+		show = func() { fmt.Fprintln(out, string(text)) }
+	}
+	show()
+	if !agree {
+		return 1, true
+	}
+	return 0, true
+}
+
 // check reads the files as a start does, and begins nothing.
 func check() error {
 	own := defaults()
--- a/cmd/capercove/main.go
+++ b/cmd/capercove/main.go
@@ -3,7 +3,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"hash/fnv"
 	gonet "net"
 	"os"
 	"os/signal"
@@ -11,6 +13,7 @@
 	"runtime"
 	"runtime/debug"
 	"slices"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -23,7 +26,6 @@
 	"capercove/internal/core"
 	"capercove/internal/discovery"
 	"capercove/internal/door"
-	"capercove/internal/fleet"
 	"capercove/internal/fleet/gossip"
 	"capercove/internal/flight"
 	"capercove/internal/intake"
@@ -31,6 +33,7 @@
 	"capercove/internal/management"
 	"capercove/internal/net"
 	"capercove/internal/pcap"
+	"capercove/internal/peers"
 	"capercove/internal/share"
 	"capercove/internal/statement"
 	"capercove/internal/store"
@@ -80,6 +83,7 @@
 	flight *flight.Front // nil while it is off, as the next two
 	store  store.Store
 	fleet  *gossip.Gossip
+	peers  *peers.Peers
 	tap    *pcap.Writer
 	stops  chan struct{} // closed on SIGTERM
 	beside *share.Beside // the loop's to begin with, then the goroutine's that settles; nil where it stands alone
@@ -186,10 +190,7 @@
 		go replay.Run()
 	}
 	if own.Fleet.Enabled {
-		says := fmt.Sprintf(`{"since_ms":%d,"listen":%q}`, time.Now().UnixMilli(), cfg.Listen)
-		if p.fleet, err = gossip.Start(cfg.Name, own.Fleet, gossip.DefaultPace(), log, clock(), func() map[fleet.Key][]byte {
-			return map[fleet.Key][]byte{{}: []byte(says)}
-		}); err != nil {
+		if err := p.join(); err != nil {
 			return err
 		}
 	}
@@ -223,6 +224,26 @@
 	return nil
 }
 
+// join lets the pooler take part in the fleet.
+func (p *program) join() (err error) {
+	cfg, own := p.config, p.own.Fleet
+	p.core.Observe()
+	_, version, _ := build()
+	self := peers.Self{Version: version[:min(len(version), 12)], Zone: own.Zone, Since: time.Now().UnixMilli(), Listen: cfg.Listen, Management: cfg.Management,
+		Settings: digest(cfg)}
+	p.peers = peers.New(cfg.Name, own.Uses, self, cfg.Settings.Routers, peers.Pooler{Core: p.core, Do: p.driver.Do, Keep: p.pool.Keep,
+		Connections: func() int { return p.front.Clients() + p.pool.Links() }, Log: p.log})
+	p.fleet, err = gossip.Start(cfg.Name, own, own.Pace(), p.log, clock(), p.peers.Period)
+	return err
+}
+
+// digest tells settings apart.
+func digest(c config.Config) string {
+	h := fnv.New64a()
+	json.NewEncoder(h).Encode(c.Settings)
+	return strconv.FormatUint(h.Sum64(), 16)
+}
+
 // limitsOf are the limits that a configuration asks for.
 func limitsOf(c config.Config) limits.Limits {
 	var longest time.Duration
@@ -246,7 +267,9 @@
 	if o.p.fleet == nil {
 		return nil
 	}
-	return o.p.fleet.State()
+	s := o.p.fleet.State()
+	s.Use = o.p.peers.Shown()
+	return s
 }
 
 func (o operator) Statements() *management.Statements {
@@ -386,6 +409,9 @@
 		}
 	}
 	p.log.Info().Str("discovery", c.Discovery).Msg("reloaded")
+	if p.peers != nil {
+		p.peers.Configured(digest(c), c.Settings.Routers)
+	}
 	p.config = c
 	fair := p.own.Door.Enabled
 	p.own.Door = own.Door
@@ -410,6 +436,9 @@
 	p.log.Info().Int("open", p.core.Open()).Msg("stopping")
 	close(p.stops)
 	p.core.Stopping()
+	if p.peers != nil {
+		p.peers.Stopping()
+	}
 	begun := p.core.Now()
 	draining := false
 	linger := p.limits.Linger
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -129,6 +129,8 @@
 	NoConnect, NoProcess                int64
 	Broken, NotSent, Turned             int64
 	Probes, ProbesFailed                int64
+	Asked                               int64 // of the probes: on other poolers' word
+	Routers                             int   // that this one reckons with, itself among them
 	Lists, ListsFailed, Batches, Events int64
 	Size                                float64 // of the databases, as the router takes them; 1 where none tells
 }
@@ -164,6 +166,9 @@
 	out      map[choice.NodeID]int // attempts that are out, of requests that teach
 	listed   bool                  // the list has come
 	stopping bool
+	observed bool                   // the figures tell what the router sees
+	routers  int                    // that share the databases, as is known of the fleet; 0: as in the settings
+	asking   map[choice.NodeID]bool // probes that are out on other poolers' word
 	members  map[choice.NodeID]*Member
 	requests map[choice.RequestID]*Request
 	names    map[string]struct{} // of the open requests
@@ -187,7 +192,7 @@
 		router: choice.New(s.Settings, seed), settings: &s, ready: ready, members: map[choice.NodeID]*Member{},
 		out:      map[choice.NodeID]int{},
 		requests: map[choice.RequestID]*Request{}, names: map[string]struct{}{},
-		Count: Counters{Fronts: map[string]map[string]*Answers{}}}
+		Count: Counters{Fronts: map[string]map[string]*Answers{}, Routers: s.Routers}}
 }
 
 // Attach names who lists, who probes and who is told of members. It comes before the first event.
@@ -460,6 +465,7 @@
 	if status != choice.OK {
 		c.Count.ProbesFailed++
 	}
+	delete(c.asking, m.ID)
 	c.push(choice.Event{Kind: choice.ProbeDone, Outcome: choice.Outcome{Node: m.ID, Status: status, Took: took,
 		Report: report}})
 }
--- a/internal/core/operators.go
+++ b/internal/core/operators.go
@@ -16,6 +16,7 @@
 	Members, Unavailable  int
 	Reloads, ReloadErrors int64
 	Door                  *DoorFigures // nil: there is none
+	Sights                []Sight      // nil: not observed
 }
 
 // Figures returns the figures as they were a moment ago, to any goroutine.
@@ -38,7 +39,7 @@
 			f.Classes[name] = f.Classes[name].plus(*a)
 		}
 	}
-	f.Door = c.Door()
+	f.Door, f.Sights = c.Door(), c.sights()
 	now := c.clock()
 	if c.ready != nil && (now >= c.readyBy || c.listed && f.Members > 0 && c.router.Leads()) {
 		c.ready()
--- /dev/null
+++ b/internal/core/peers.go
@@ -0,0 +1,61 @@
+package core
+
+import "capercove/choice"
+
+// What other poolers' words come down to, where poolers talk. None of it is evidence, and nothing waits for it.
+
+// Sight is what the router holds of a database by its own evidence.
+type Sight struct {
+	choice.Seen
+	Name   string
+	MayAsk bool // a probe may be sent there
+}
+
+// Observe lets the figures tell what the router sees.
+func (c *Core) Observe() { c.observed = true }
+
+// sights are what the router sees now; nil where nobody looks.
+func (c *Core) sights() []Sight {
+	if !c.observed {
+		return nil
+	}
+	seen := c.router.Seen(nil)
+	sights := make([]Sight, 0, len(seen))
+	for _, s := range seen {
+		if m := c.members[s.ID]; m != nil {
+			sights = append(sights, Sight{Seen: s, Name: m.Name, MayAsk: c.mayAsk(m)})
+		}
+	}
+	return sights
+}
+
+func (c *Core) mayAsk(m *Member) bool {
+	return c.settings.CanProbe && m.State == choice.Ready && !m.Banned
+}
+
+// Share takes in how many routers share the databases, in place of the number in the settings; 0 is back to that.
+func (c *Core) Share(routers int) {
+	if routers != c.routers {
+		c.routers = routers
+		c.retune()
+	}
+}
+
+// Ask probes a database that other poolers have a word on. What comes back is evidence like any other; nothing is sent to one
+// that is gone, draining or banned, or to which a probe is out already.
+func (c *Core) Ask(name string) (asked bool) {
+	for id, m := range c.members {
+		if m.Name != name || !c.mayAsk(m) || c.asking[id] {
+			continue
+		}
+		if c.asking == nil {
+			c.asking = map[choice.NodeID]bool{}
+		}
+		c.asking[id] = true
+		c.Count.Probes++
+		c.Count.Asked++
+		c.prober.Probe(m)
+		return true
+	}
+	return false
+}
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -42,9 +42,13 @@
 	return q.Class + int(q.Route)*len(c.settings.Classes)
 }
 
-// routed are the settings as the router has them: with each class as it is, then each as a write, then each as a read.
+// routed are the settings as the router has them: with the routers that are there, and with each class as it is, then each as a
+// write, then each as a read.
 func (c *Core) routed() choice.Settings {
 	s := c.settings.Settings
+	if c.routers > 0 {
+		s.Routers = c.routers
+	}
 	if !c.routes {
 		return s
 	}
@@ -67,6 +71,7 @@
 // retune hands the settings as they are to the router and to the door.
 func (c *Core) retune() {
 	s := c.routed()
+	c.Count.Routers = s.Routers
 	c.push(choice.Event{Kind: choice.SettingsChanged, Settings: &s})
 	if c.door != nil {
 		c.Refair(c.door.config)
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -9,74 +9,21 @@
 	stdlog "log"
 	"maps"
 	"math/rand/v2"
-	"net"
 	"net/netip"
 	"slices"
-	"strconv"
+	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-msgpack/v2/codec"
 	"github.com/hashicorp/memberlist"
 	"github.com/rs/zerolog"
 
-	"capercove/internal/config/tables"
 	"capercove/internal/fleet"
 )
 
-// Config is table [fleet] of the operators' file.
-type Config struct {
-	Enabled   bool     `toml:"enabled"`
-	Cluster   string   `toml:"cluster"`   // others' members and datagrams are turned away
-	Listen    string   `toml:"listen"`    // where peers reach this pooler, TCP and UDP, such as "127.0.0.1:7946"
-	Advertise string   `toml:"advertise"` // ... if they reach it elsewhere
-	Seeds     []string `toml:"seeds"`     // some poolers' addresses; they need not be up yet
-}
-
-// Check finds what is wrong with the table.
-func (c Config) Check() error {
-	if !c.Enabled {
-		return nil
-	}
-	if c.Cluster == "" {
-		return tables.Bad("cluster", "empty: poolers of other installations would be let in")
-	}
-	if len(c.Cluster) > 64 {
-		return tables.Bad("cluster", "%d bytes, 64 at most", len(c.Cluster))
-	}
-	if _, err := netip.ParseAddrPort(c.Listen); err != nil {
-		return tables.Bad("listen", "%v", err)
-	}
-	if _, err := netip.ParseAddrPort(c.Advertise); c.Advertise != "" && err != nil {
-		return tables.Bad("advertise", "%v", err)
-	}
-	for i, s := range c.Seeds {
-		if _, _, err := net.SplitHostPort(s); err != nil {
-			return tables.Bad(fmt.Sprintf("seeds[%d]", i), "%v", err)
-		}
-	}
-	return nil
-}
-
-// Pace is how fast a fleet finds out and talks.
-type Pace struct {
-	Period  time.Duration // of news, and of what memberlist sends
-	Probe   time.Duration // one member is asked whether it lives this often
-	Timeout time.Duration // ... and is suspected without an answer by then
-	Rejoin  time.Duration // one that is gone, or a seed that is not there, is tried again this often
-	LogEach time.Duration // at most one line a kind of bad input in this time
-}
-
-// DefaultPace is for poolers some milliseconds apart.
-func DefaultPace() Pace {
-	return Pace{Period: 200 * time.Millisecond, Probe: time.Second, Timeout: 500 * time.Millisecond, Rejoin: 5 * time.Second,
-		LogEach: time.Second}
-}
-
-const (
-	rememberedMost = 1024 // addresses of poolers that are gone
-)
-
 // The steps of an exchange: what one lacks is asked for by a summary, the answer has that and a summary of its own, and the
 // last has what that lacks.
 const (
@@ -93,7 +40,15 @@
 }
 
 // Counters count what came in and was turned down.
-type Counters struct{ Garbled, Conflicts, Joins, Refuted int64 }
+type Counters struct {
+	Garbled   int64 // messages that could not be read
+	Versions  int64 // ... of another version
+	Conflicts int64 // messages of a second pooler by a name that is there
+	Joins     int64 // seeds and others that were reached again
+	Refuted   int64 // times this pooler was told of its own end while it lived
+	Periods   int64 // that this pooler has talked for
+	Unkept    int64 // times the remembered members could not be read or written
+}
 
 // Gossip is one pooler's part of the fleet.
 type Gossip struct {
@@ -102,62 +57,132 @@
 	pace   Pace
 	log    zerolog.Logger
 	clock  func() time.Duration
-	values func() map[fleet.Key][]byte
-	list   *memberlist.Memberlist
+	period func(now time.Duration, v *fleet.View) map[fleet.Key][]byte
+	began  time.Duration
 	stop   chan struct{}
 	ended  sync.WaitGroup
+	digest atomic.Uint64 // of the view, as last told
+	heard  heard
+
+	mu         sync.Mutex
+	list       *memberlist.Memberlist // nil until the address is to be had
+	waits      string                 // why there is none yet
+	talk       *fleet.Talk
+	members    map[string]*peer   // that are there, this pooler left out
+	missing    map[string]*peer   // that have gone just now: whether they left is not known yet
+	remembered map[string]address // where those are that went without a word, and that were there before a restart
+	agreement  *agreement
+	stopping   bool
+	count      Counters
+	logged     map[string]time.Duration
+	kept       time.Duration // when the remembered members were last written
+	changed    bool          // ... and whether they have changed since
+	random     *rand.Rand
+}
+
+// peer is another pooler that is there, or was just now.
+type peer struct {
+	node  memberlist.Node
+	since time.Duration // when it was found there
+	went  time.Duration // ... and when not any more; 0: it is there
+}
 
-	mu       sync.Mutex
-	talk     *fleet.Talk
-	members  map[string]memberlist.Node // that are there, this pooler left out
-	stopping bool
-	count    Counters
-	gone     map[string]string // names of those that are gone, with their addresses: a cut that is over is found through them
-	left     map[string]bool   // names of those that said that they end
-	logged   map[string]time.Duration
-	random   *rand.Rand
+// heard is what the library tells beside its members. It has a lock of its own, as the library logs while it is being called.
+type heard struct {
+	mu        sync.Mutex
+	answered  map[string]time.Duration // the last answer of each to this pooler
+	suspected map[string]time.Duration // who has not answered since
+	refused   int64                    // what it could not read or turned away, such as from another cluster
 }
 
 // wire is what goes over memberlist's user messages.
 type wire struct {
+	Version int
 	From    string
+	Digest  uint64 // of the sender's view
 	Facts   []fleet.Fact
 	Ends    []fleet.End
 	Summary map[string]uint64
-	Step    int  // of an exchange: 0 is news; ask, answer and back are each answered with the next, and go over a stream
-	Leaves  bool // From ends as it should: memberlist's own word for it does not reach its callers
+	Step    int // of an exchange: 0 is news; ask, answer and back are each answered with the next, and go over a stream
 }
 
 var handle codec.MsgpackHandle
 
-// Start joins the fleet as name; it goes on trying for as long as there is nobody. Values are what the pooler says, asked for
-// once a period on a goroutine of the fleet's. The clock counts from the Unix epoch.
-func Start(name string, c Config, p Pace, log zerolog.Logger, clock func() time.Duration, values func() map[fleet.Key][]byte) (*Gossip, error) {
-	b := fleet.DefaultBounds()
-	random := rand.New(rand.NewPCG(uint64(clock()), 0))
-	g := &Gossip{name: name, config: c, pace: p, log: log, clock: clock, values: values, stop: make(chan struct{}),
-		talk:    fleet.NewTalk(fleet.NewView(b), fleet.NewAuthor(name, uint64(clock().Milliseconds()), b), fleet.DefaultTalk(), random),
-		members: map[string]memberlist.Node{}, gone: map[string]string{}, left: map[string]bool{}, logged: map[string]time.Duration{}, random: random}
+// Start joins the fleet as name; it goes on trying for as long as there is nobody, and also while the address is another's, as
+// the process before this one may not have ended. Period is called once a period on a goroutine of the fleet's, with a view that
+// is its own until it returns; it returns what the pooler says. The clock counts from the Unix epoch.
+func Start(name string, c Config, p Pace, log zerolog.Logger, clock func() time.Duration,
+	period func(now time.Duration, v *fleet.View) map[fleet.Key][]byte) (*Gossip, error) {
+	b, now := fleet.DefaultBounds(), clock()
+	random := rand.New(rand.NewPCG(uint64(now), 0))
+	g := &Gossip{name: name, config: c, pace: p, log: log, clock: clock, period: period, began: now, stop: make(chan struct{}),
+		talk:    fleet.NewTalk(fleet.NewView(b), fleet.NewAuthor(name, uint64(now.Milliseconds()), b), fleet.DefaultTalk(), random),
+		members: map[string]*peer{}, missing: map[string]*peer{}, remembered: map[string]address{},
+		heard:     heard{answered: map[string]time.Duration{}, suspected: map[string]time.Duration{}},
+		agreement: newAgreement(p.Agree, now), logged: map[string]time.Duration{}, random: random}
+	if c.Dir != "" {
+		members, err := load(c.Dir, c.Cluster, now)
+		if err != nil { // It starts as if there were none.
+			g.count.Unkept++
+			log.Error().Err(err).Msg("fleet: the remembered members are not used")
+		}
+		maps.Copy(g.remembered, members)
+		delete(g.remembered, name)
+	}
+	err := g.join()
+	if err != nil && !strings.Contains(err.Error(), syscall.EADDRINUSE.Error()) { // the library wraps the text alone
+		return nil, err
+	}
+	g.ended.Go(func() { g.live(err) })
+	return g, nil
+}
+
+// live waits for the address, if it is another's, and then takes part.
+func (g *Gossip) live(err error) {
+	for said := false; err != nil; err = g.join() {
+		if !said {
+			g.log.Warn().Err(err).Msg("fleet: not part of it yet; tried again")
+		}
+		said = true
+		g.mu.Lock()
+		g.waits = err.Error()
+		g.mu.Unlock()
+		select {
+		case <-time.After(g.pace.Bind):
+		case <-g.stop:
+			return
+		}
+	}
+	g.mu.Lock()
+	g.waits = ""
+	g.mu.Unlock()
+	g.ended.Go(g.run)
+	g.rejoin()
+}
+
+// join begins to take part.
+func (g *Gossip) join() error {
+	c, p := g.config, g.pace
 	listen, err := netip.ParseAddrPort(c.Listen)
 	if err != nil {
-		return nil, fmt.Errorf("fleet.listen: %w", err)
+		return fmt.Errorf("fleet.listen: %w", err)
 	}
 	out := stdlog.New(library{g}, "", 0)
 	t, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{listen.Addr().String()},
 		BindPort: int(listen.Port()), Logger: out})
 	if err != nil {
-		return nil, fmt.Errorf("fleet.listen: %w", err)
+		return fmt.Errorf("fleet.listen: %w", err)
 	}
 	own := netip.AddrPortFrom(listen.Addr(), uint16(t.GetAutoBindPort()))
 	advertise := own
 	if c.Advertise != "" {
 		if advertise, err = netip.ParseAddrPort(c.Advertise); err != nil {
 			t.Shutdown()
-			return nil, fmt.Errorf("fleet.advertise: %w", err)
+			return fmt.Errorf("fleet.advertise: %w", err)
 		}
 	}
 	m := memberlist.DefaultLANConfig()
-	m.Name, m.Label = name, c.Cluster
+	m.Name, m.Label = g.name, c.Cluster
 	m.BindAddr, m.BindPort = own.Addr().String(), int(own.Port())
 	m.AdvertiseAddr, m.AdvertisePort = advertise.Addr().String(), int(advertise.Port())
 	m.Transport = transport{t, own.Addr()}
@@ -165,18 +190,16 @@
 	m.PushPullInterval = 10 * p.Rejoin
 	m.TCPTimeout = 4 * p.Timeout
 	m.DeadNodeReclaimTime = p.Rejoin // a pooler may come back under another address
-	m.Delegate, m.Events, m.Conflict, m.Logger = delegate{g}, events{g}, conflicts{g}, out
+	m.Delegate, m.Events, m.Conflict, m.Ping, m.Logger = delegate{g}, events{g}, conflicts{g}, pings{g}, out
 	list, err := memberlist.Create(m)
 	if err != nil {
 		t.Shutdown()
-		return nil, fmt.Errorf("fleet: %w", err)
+		return fmt.Errorf("fleet: %w", err)
 	}
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.list = list // messages may have come before
-	g.mu.Unlock()
-	g.ended.Go(g.run)
-	g.ended.Go(g.rejoin)
-	return g, nil
+	return nil
 }
 
 // Stop leaves: the others are told that this is no crash. It takes no longer than given.
@@ -184,37 +207,21 @@
 	close(g.stop)
 	g.mu.Lock()
 	g.stopping = true
+	d := g.talk.Leave(g.clock())
 	for name := range g.members {
-		g.send(name, wire{Leaves: true})
+		g.send(name, wire{Facts: d.Facts, Ends: d.Ends})
 	}
+	list := g.list
 	g.mu.Unlock()
 	g.ended.Wait()
-	if err := g.list.Leave(within); err != nil {
-		g.log.Warn().Err(err).Msg("fleet: nobody was told that this pooler leaves")
+	g.keep(true)
+	if list == nil {
+		return
 	}
-	g.list.Shutdown()
-}
-
-// State is what there is to be shown.
-type State struct {
-	Name   string            `json:"name"`
-	Digest string            `json:"digest"` // equal at two poolers that hold the same
-	Live   []string          `json:"live"`
-	Says   map[string]string `json:"says"` // what each says of itself
-	Gone   map[string]string `json:"gone"` // names and addresses of those that went without a word, and are tried again
-	Counters
-}
-
-// State is the fleet as this pooler sees it.
-func (g *Gossip) State() State {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	s := State{Name: g.name, Digest: strconv.FormatUint(g.talk.View.Digest(), 16), Live: g.talk.View.Live(), Says: map[string]string{},
-		Gone: maps.Clone(g.gone), Counters: g.count}
-	for _, f := range g.talk.View.Of(fleet.Key{}) {
-		s.Says[f.Owner] = string(f.Value)
+	if err := list.Leave(within); err != nil {
+		g.log.Debug().Err(err).Msg("fleet: the library's word that this pooler leaves") // its own went out before
 	}
-	return s
+	list.Shutdown()
 }
 
 // run talks, period by period.
@@ -227,14 +234,83 @@
 		case <-g.stop:
 			return
 		}
-		values := g.values()
 		g.mu.Lock()
 		now := g.clock()
+		g.count.Periods++
 		g.talk.View.Forget(now)
+		g.judge(now)
+		values := g.period(now, g.talk.View)
 		for _, m := range g.talk.Period(now, values, slices.Sorted(maps.Keys(g.members))) {
 			g.send(m.To, wire{Facts: m.News.Facts, Ends: m.News.Ends, Summary: m.Summary, Step: step(m)})
 		}
+		g.agree(now)
 		g.mu.Unlock()
+		g.keep(false)
+	}
+}
+
+// judge says of those that went a moment ago whether they left or crashed; mu is held. Their own word and the library's come by
+// different ways, in any order.
+func (g *Gossip) judge(now time.Duration) {
+	for name, p := range g.missing {
+		incarnation, gone := g.talk.View.Incarnation(name)
+		left := gone && g.talk.View.Left(name)
+		if !left && now-p.went < verdict*g.pace.Period {
+			continue
+		}
+		delete(g.missing, name)
+		why := "it has left"
+		if !left {
+			why = "it does not answer"
+			g.talk.Found(now, name)
+			g.remember(name, p.node.Address(), now)
+		} else {
+			delete(g.remembered, name)
+		}
+		g.changed = true
+		g.log.Info().Str("pooler", name).Uint64("incarnation", incarnation).Str("why", why).Msg("fleet: is gone")
+	}
+}
+
+// remember keeps an address, within the bound; mu is held.
+func (g *Gossip) remember(name, at string, now time.Duration) {
+	if _, has := g.remembered[name]; has || len(g.remembered) < rememberedMost {
+		g.remembered[name] = address{at, now}
+	}
+}
+
+// agree follows whether all views are the same; mu is held.
+func (g *Gossip) agree(now time.Duration) {
+	digest := g.talk.View.Digest()
+	g.digest.Store(digest)
+	there := make(map[string]bool, len(g.members))
+	for name := range g.members {
+		there[name] = true
+	}
+	if g.agreement.step(now, digest, there) {
+		g.log.Info().Bool("agree", g.agreement.agrees).Int("poolers", len(there)+1).Msg("fleet: views")
+	}
+}
+
+// keep writes the remembered members and those that are there, if they have changed.
+func (g *Gossip) keep(last bool) {
+	g.mu.Lock()
+	now := g.clock()
+	if g.config.Dir == "" || !g.changed || !last && now-g.kept < g.pace.Rejoin {
+		g.mu.Unlock()
+		return
+	}
+	g.kept, g.changed = now, false
+	members := maps.Clone(g.remembered)
+	for name, p := range g.members {
+		members[name] = address{p.node.Address(), now}
+	}
+	g.mu.Unlock()
+	if err := keep(g.config.Dir, g.config.Cluster, members); err != nil {
+		g.mu.Lock()
+		g.count.Unkept++
+		g.mu.Unlock()
+		g.bad("the members cannot be remembered: " + err.Error())
 	}
 }
 
@@ -244,41 +320,43 @@
 	if !there || g.list == nil {
 		return
 	}
-	w.From = g.name
+	w.Version, w.From, w.Digest = version, g.name, g.talk.View.Digest()
 	var b bytes.Buffer
 	if err := codec.NewEncoder(&b, &handle).Encode(w); err != nil {
 		g.log.Error().Err(err).Msg("fleet: a message cannot be written")
 		return
 	}
+	list, node := g.list, to.node
 	if w.Step > 0 {
 		if !g.stopping {
-			g.ended.Go(func() { g.list.SendReliable(&to, b.Bytes()) }) // a dial may take as long as its time-out
+			g.ended.Go(func() { list.SendReliable(&node, b.Bytes()) }) // a dial may take as long as its time-out
 		}
 		return
 	}
-	g.list.SendBestEffort(&to, b.Bytes())
+	list.SendBestEffort(&node, b.Bytes())
 }
 
 // hear takes in a message.
 func (g *Gossip) hear(data []byte) {
 	var w wire
-	err := codec.NewDecoder(io.LimitReader(bytes.NewReader(data), 4<<20), &handle).Decode(&w)
+	err := codec.NewDecoder(io.LimitReader(bytes.NewReader(data), messageMost), &handle).Decode(&w)
 	if err != nil || w.From == "" {
-		g.mu.Lock()
-		g.count.Garbled++
-		g.mu.Unlock()
-		g.bad("a message that cannot be read")
+		g.turnDown(&g.count.Garbled, "a message that cannot be read")
 		return
 	}
-	g.mu.Lock()
-	if w.Leaves && len(g.left) < rememberedMost {
-		g.left[w.From] = true
+	if w.Version != version {
+		g.turnDown(&g.count.Versions, fmt.Sprintf("%q speaks version %d, and this pooler %d", w.From, w.Version, version))
+		return
 	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock()
 	before := g.talk.Author.Incarnation()
-	g.talk.Hear(g.clock(), fleet.Delta{Facts: w.Facts, Ends: w.Ends})
+	g.talk.Hear(now, fleet.Delta{Facts: w.Facts, Ends: w.Ends})
 	if g.talk.Author.Incarnation() != before {
 		g.count.Refuted++
 	}
+	g.agreement.tell(now, w.From, w.Digest)
 	switch d := (fleet.Delta{}); w.Step {
 	case ask:
 		d = g.talk.Answer(w.Summary)
@@ -288,7 +366,6 @@
 			g.send(w.From, wire{Facts: d.Facts, Ends: d.Ends, Step: back})
 		}
 	}
-	g.mu.Unlock()
 }
 
 // rejoin tries seeds that are not there, and addresses of those that are gone: neither side of a cut that is over has another
@@ -304,8 +381,8 @@
 		var try []string
 		g.mu.Lock()
 		there := map[string]bool{g.config.Advertise: true, g.config.Listen: true}
-		for _, n := range g.members {
-			there[n.Address()] = true
+		for _, p := range g.members {
+			there[p.node.Address()] = true
 		}
 		// Against two halves that found each their own before their seeds were up: having somebody is not enough.
 		for _, seed := range g.config.Seeds {
@@ -313,15 +390,18 @@
 				try = append(try, seed)
 			}
 		}
-		for _, addr := range g.gone { // in any order, a few at a time
-			if len(try) < 4+len(g.config.Seeds) {
-				try = append(try, addr)
+		for name, a := range g.remembered { // in any order, a few at a time
+			if there[a.at] || g.talk.View.Left(name) {
+				delete(g.remembered, name)
+			} else if len(try) < tries+len(g.config.Seeds) {
+				try = append(try, a.at)
 			}
 		}
 		wait = g.pace.Rejoin/2 + time.Duration(g.random.Int64N(int64(g.pace.Rejoin)))
+		list := g.list
 		g.mu.Unlock()
 		for _, addr := range try {
-			if n, _ := g.list.Join([]string{addr}); n > 0 {
+			if n, _ := list.Join([]string{addr}); n > 0 {
 				g.mu.Lock()
 				g.count.Joins++
 				g.mu.Unlock()
@@ -335,13 +415,24 @@
 	}
 }
 
+// turnDown counts and logs what is not taken in.
+func (g *Gossip) turnDown(count *int64, why string) {
+	g.mu.Lock()
+	*count++
+	g.mu.Unlock()
+	g.bad(why)
+}
+
 // bad logs bad input, at most one line a kind and time.
 func (g *Gossip) bad(why string) {
 	g.mu.Lock()
 	now := g.clock()
 	last, seen := g.logged[why]
 	said := seen && now-last < g.pace.LogEach
-	if !said && len(g.logged) < rememberedMost {
+	if !said {
+		if len(g.logged) >= rememberedMost { // Against texts made up without end.
+			clear(g.logged)
+		}
 		g.logged[why] = now
 	}
 	g.mu.Unlock()
@@ -349,82 +440,3 @@
 		g.log.Warn().Str("why", why).Msg("fleet: bad input")
 	}
 }
-
-// ---- What memberlist calls, on goroutines of its own
-
-type events struct{ g *Gossip }
-
-func (e events) NotifyJoin(n *memberlist.Node) {
-	if n.Name == e.g.name {
-		return
-	}
-	e.g.mu.Lock()
-	delete(e.g.gone, n.Name)
-	delete(e.g.left, n.Name)
-	e.g.members[n.Name] = memberlist.Node{Name: n.Name, Addr: slices.Clone(n.Addr), Port: n.Port} // theirs changes
-	e.g.mu.Unlock()
-	e.g.log.Info().Str("pooler", n.Name).Str("at", n.Address()).Msg("fleet: is there")
-}
-
-func (e events) NotifyLeave(n *memberlist.Node) {
-	if n.Name == e.g.name {
-		return
-	}
-	e.g.mu.Lock()
-	left := e.g.left[n.Name]
-	delete(e.g.members, n.Name)
-	e.g.talk.Found(e.g.clock(), n.Name)
-	if !left && len(e.g.gone) < rememberedMost {
-		e.g.gone[n.Name] = n.Address()
-	}
-	e.g.mu.Unlock()
-	why := "it does not answer"
-	if left {
-		why = "it has left"
-	}
-	e.g.log.Info().Str("pooler", n.Name).Str("why", why).Msg("fleet: is gone")
-}
-
-func (e events) NotifyUpdate(*memberlist.Node) {}
-
-type conflicts struct{ g *Gossip }
-
-func (c conflicts) NotifyConflict(existing, other *memberlist.Node) {
-	c.g.mu.Lock()
-	c.g.count.Conflicts++
-	c.g.mu.Unlock()
-	c.g.bad(fmt.Sprintf("two poolers bear the name %q, at %s and %s", existing.Name, existing.Address(), other.Address()))
-}
-
-type delegate struct{ g *Gossip }
-
-func (d delegate) NotifyMsg(b []byte)            { d.g.hear(bytes.Clone(b)) }
-func (delegate) NodeMeta(int) []byte             { return nil }
-func (delegate) GetBroadcasts(int, int) [][]byte { return nil }
-func (delegate) LocalState(bool) []byte          { return nil }
-func (delegate) MergeRemoteState([]byte, bool)   {}
-
-// library passes on what memberlist logs: its warnings and errors are bad input as often as not.
-type library struct{ g *Gossip }
-
-func (l library) Write(line []byte) (int, error) {
-	if bytes.Contains(line, []byte("[ERR]")) || bytes.Contains(line, []byte("[WARN]")) {
-		l.g.log.Debug().Msg("fleet: " + string(bytes.TrimSpace(line)))
-	}
-	return len(line), nil
-}
-
-// transport dials from the own address, so that peers, and relays before them, can tell who it is.
-type transport struct {
-	*memberlist.NetTransport
-	own netip.Addr
-}
-
-func (t transport) DialAddressTimeout(a memberlist.Address, timeout time.Duration) (net.Conn, error) {
-	d := net.Dialer{Timeout: timeout, LocalAddr: &net.TCPAddr{IP: t.own.AsSlice()}}
-	return d.Dial("tcp", a.Addr)
-}
-
-func (t transport) DialTimeout(addr string, timeout time.Duration) (net.Conn, error) {
-	return t.DialAddressTimeout(memberlist.Address{Addr: addr}, timeout)
-}
--- a/internal/fleet/gossip/gossip_test.go
+++ b/internal/fleet/gossip/gossip_test.go
@@ -22,7 +22,11 @@
 
 // quick is for members on one machine.
 var quick = gossip.Pace{Period: 20 * time.Millisecond, Probe: 200 * time.Millisecond, Timeout: 100 * time.Millisecond,
-	Rejoin: 200 * time.Millisecond, LogEach: time.Second}
+	Rejoin: 200 * time.Millisecond, Bind: 10 * time.Millisecond, Agree: time.Second, LogEach: time.Second}
+
+func saying(values map[fleet.Key][]byte) func(time.Duration, *fleet.View) map[fleet.Key][]byte {
+	return func(time.Duration, *fleet.View) map[fleet.Key][]byte { return values }
+}
 
 func clock() time.Duration { return time.Duration(time.Now().UnixNano()) }
 
@@ -92,7 +96,7 @@
 	}
 	require.NoError(m.t, c.Check())
 	log := zerolog.New(m.log).With().Str("at", name).Logger()
-	g, err := gossip.Start(name, c, quick, log, clock, func() map[fleet.Key][]byte { return map[fleet.Key][]byte{{}: []byte(name)} })
+	g, err := gossip.Start(name, c, quick, log, clock, saying(map[fleet.Key][]byte{{}: []byte(name)}))
 	require.NoError(m.t, err)
 	m.up[name] = g
 }
@@ -205,7 +209,7 @@
 	m.settled("n2")
 	m.own["n1'"], m.public["n1'"] = m.own["n3"], m.public["n3"]
 	c := gossip.Config{Enabled: true, Cluster: "c", Listen: m.own["n3"], Advertise: m.public["n3"], Seeds: []string{m.public["n0"]}}
-	twin, err := gossip.Start("n1", c, quick, zerolog.Nop(), clock, func() map[fleet.Key][]byte { return nil })
+	twin, err := gossip.Start("n1", c, quick, zerolog.Nop(), clock, saying(nil))
 	require.NoError(t, err)
 	defer twin.Stop(time.Millisecond)
 	require.Eventually(t, func() bool { return m.up["n0"].State().Conflicts > 0 }, patience, 5*time.Millisecond)
--- /dev/null
+++ b/internal/fleet/gossip/memory_test.go
@@ -0,0 +1,100 @@
+package gossip
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const epoch = 1_800_000_000 * time.Second
+
+// What is remembered comes back. A file cut off at any byte, with any byte made otherwise, of another cluster or larger than any
+// that is written is turned down whole; none is no error.
+func TestRemembered(t *testing.T) {
+	dir := t.TempDir()
+	members := map[string]address{"n 1": {"127.0.0.1:7946", epoch}, `odd "name`: {"[::1]:7946", epoch - time.Hour}}
+	got, err := load(dir, "c", epoch)
+	require.NoError(t, err)
+	require.Empty(t, got)
+	require.NoError(t, keep(dir, "c", members))
+	got, err = load(dir, "c", epoch)
+	require.NoError(t, err)
+	require.Equal(t, members, got)
+	_, err = load(dir, "other", epoch)
+	require.ErrorContains(t, err, "fleet-members:1: of another version or cluster")
+	got, err = load(dir, "c", epoch+addressKept)
+	require.NoError(t, err)
+	require.Empty(t, got, "long ago")
+
+	path := filepath.Join(dir, memoryName)
+	whole, err := os.ReadFile(path)
+	require.NoError(t, err)
+	for i := range whole {
+		require.NoError(t, os.WriteFile(path, whole[:i], 0o600))
+		_, err = load(dir, "c", epoch)
+		require.Error(t, err, "cut off at %d", i)
+		damaged := append([]byte{}, whole...)
+		damaged[i] ^= 1 << (i % 8)
+		require.NoError(t, os.WriteFile(path, damaged, 0o600))
+		_, err = load(dir, "c", epoch)
+		require.Error(t, err, "bit turned in byte %d", i)
+	}
+	require.NoError(t, os.WriteFile(path, make([]byte, memoryMost+1), 0o600))
+	_, err = load(dir, "c", epoch)
+	require.ErrorContains(t, err, "at most")
+	require.NoError(t, keep(dir, "c", members), "it is written anew")
+	require.Error(t, keep(filepath.Join(dir, "none"), "c", members))
+	left, err := filepath.Glob(filepath.Join(dir, "*"))
+	require.NoError(t, err)
+	require.Equal(t, []string{path}, left, "nothing is left behind")
+
+	many := map[string]address{}
+	for i := range 3 * rememberedMost {
+		many[fmt.Sprint("n", i)] = address{"127.0.0.1:1", epoch}
+	}
+	require.NoError(t, keep(dir, "c", many))
+	got, err = load(dir, "c", epoch)
+	require.NoError(t, err)
+	require.Len(t, got, rememberedMost)
+}
+
+// Views agree where another's digest has been this pooler's a moment ago, or becomes it soon; they do not once one has differed
+// for long; nothing heard is neither.
+func TestAgreement(t *testing.T) {
+	there := map[string]bool{"b": true}
+	at := func(s float64) time.Duration { return epoch + time.Duration(s*float64(time.Second)) }
+	a := newAgreement(10*time.Second, epoch)
+	say := func(now time.Duration, own uint64) string {
+		a.step(now, own, there)
+		return a.verdict(now, a.others["b"])
+	}
+	require.Equal(t, "?", say(at(0), 1))
+	a.tell(at(1), "b", 1)
+	require.Equal(t, "yes", say(at(1), 1))
+	say(at(2), 2)
+	a.tell(at(3), "b", 1)
+	require.Equal(t, "yes", say(at(3), 2), "it was this pooler's a moment ago")
+	a.tell(at(4), "b", 3)
+	require.Equal(t, "?", say(at(4), 2), "it may still come to agree")
+	require.Equal(t, "yes", say(at(5), 3))
+	a.tell(at(6), "b", 4)
+	a.tell(at(11), "b", 5) // another that differs does not begin anew
+	require.Equal(t, "?", say(at(15), 3))
+	require.True(t, a.agrees)
+	require.Equal(t, "no", say(at(16), 3))
+	require.False(t, a.agrees)
+	require.Equal(t, at(16), a.since)
+	a.tell(at(17), "b", 3)
+	require.Equal(t, "yes", say(at(17), 3))
+	require.True(t, a.agrees)
+	clear(there)
+	a.step(at(18), 3, there)
+	require.Empty(t, a.others)
+	a.tell(at(19), "b", 9)
+	require.Empty(t, a.others, "it is not there")
+	require.LessOrEqual(t, len(a.own), 3)
+}
--- a/internal/fleet/model_test.go
+++ b/internal/fleet/model_test.go
@@ -46,7 +46,7 @@
 
 var sound = rules{
 	merge:  func(v *View, d Delta) Delta { return v.Merge(now, d) },
-	refute: func(a *Author, d Delta) bool { return a.Refute(d) },
+	refute: func(a *Author, d Delta) bool { return a.Refute(now, d) },
 }
 
 func newModel(b budget) *model {
@@ -196,7 +196,7 @@
 					if c.members[j].up {
 						c.left.wrong--
 					}
-					d := Delta{Ends: []End{{name(j), incarnation, now}}}
+					d := Delta{Ends: []End{{name(j), incarnation, now, false}}}
 					c.hear(r, i, d, false)
 					c.tell(i, d)
 				})
@@ -248,7 +248,7 @@
 				if c.members[j].up {
 					c.hear(r, i, c.members[j].view.Missing(c.members[i].view.Summary()), false)
 				} else if incarnation, gone := o.view.Incarnation(name(j)); incarnation > 0 && !gone {
-					c.hear(r, i, Delta{Ends: []End{{name(j), incarnation, now}}}, false)
+					c.hear(r, i, Delta{Ends: []End{{name(j), incarnation, now, false}}}, false)
 				}
 			}
 		}
@@ -362,7 +362,7 @@
 		}), func(a *Author, d Delta) bool { return false }},
 		"nobody refutes": {sound.merge, func(*Author, Delta) bool { return false }},
 		"one refutes with the same incarnation": {sound.merge, func(a *Author, d Delta) bool {
-			if !a.Refute(d) {
+			if !a.Refute(now, d) {
 				return false
 			}
 			a.incarnation--
--- a/internal/fleet/talk.go
+++ b/internal/fleet/talk.go
@@ -48,6 +48,7 @@
 	news   []news
 	asked  time.Duration // when a summary was last sent
 	from   int           // where the next answer to a summary begins
+	left   bool          // the pooler has said that it ends
 }
 
 // NewTalk returns the talk of a pooler that knows nothing yet.
@@ -62,7 +63,17 @@
 // Hear takes in what a peer tells. What is new is told on; what tells of the pooler itself is refuted.
 func (t *Talk) Hear(now time.Duration, d Delta) {
 	t.tell(t.View.Merge(now, d))
-	t.Author.Refute(d) // what it says from then on is said in the next period
+	if !t.left {
+		t.Author.Refute(now, d) // what it says from then on is said in the next period
+	}
+}
+
+// Leave says that the pooler ends, and returns that for all whom it reaches at once. Nothing else is said from then on.
+func (t *Talk) Leave(now time.Duration) Delta {
+	t.left = true
+	d := t.Author.Leave(now)
+	t.tell(t.View.Merge(now, d))
+	return d
 }
 
 func (t *Talk) tell(d Delta) {
@@ -84,7 +95,9 @@
 // Period is what is sent in one period: values are what the pooler says of itself and of databases now, peers are those that it
 // may reach.
 func (t *Talk) Period(now time.Duration, values map[Key][]byte, peers []string) (out []Message) {
-	t.tell(t.View.Merge(now, t.Author.Say(now, values)))
+	if !t.left {
+		t.tell(t.View.Merge(now, t.Author.Say(now, values)))
+	}
 	if len(peers) == 0 {
 		return nil
 	}
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -44,6 +44,7 @@
 	Owner       string
 	Incarnation uint64
 	At          time.Duration // when it was found, on the clock of who found it
+	Left        bool          // it said so itself; otherwise it was found not to answer
 }
 
 // Delta is what one pooler tells another.
@@ -77,22 +78,22 @@
 // and within one its end is above all that it has said.
 type owner struct {
 	incarnation uint64
-	gone        bool
+	gone, left  bool
 	at          time.Duration // of the end
 	facts       map[Key]Fact
 }
 
 // View is what one pooler knows. It is not safe for concurrent use.
 type View struct {
-	Count Counters
+	Count ViewCounters
 
 	bounds Bounds
 	owners map[string]*owner
 	digest uint64 // the sum of the hashes of all entries, so that it needs no order
 }
 
-// Counters count what was turned down.
-type Counters struct {
+// ViewCounters count what was turned down.
+type ViewCounters struct {
 	Old, Ahead, Large, Crowd int64 // too old or of the past; of the future; too large; more than is held
 }
 
@@ -124,7 +125,7 @@
 		(f.Key.Kind == OfDatabase) == (f.Key.Subject == "") || f.Key.Kind > OfDatabase:
 		v.Count.Large++
 		return false
-	case f.At > now+v.bounds.Ahead || v.ahead(now, f.Incarnation): // Against a wrong clock: it would be the newest for ever.
+	case v.bounds.ahead(now, f.At, f.Incarnation): // Against a wrong clock: it would be the newest for ever.
 		v.Count.Ahead++
 		return false
 	case f.At < now-v.bounds.Forget: // Against the return of what has been forgotten since.
@@ -144,7 +145,7 @@
 		return false
 	case f.Incarnation > o.incarnation: // It has restarted: what it said before is void, and so is its end.
 		v.clear(f.Owner, o)
-		o.incarnation, o.gone, o.at = f.Incarnation, false, 0
+		o.incarnation, o.gone, o.left, o.at = f.Incarnation, false, false, 0
 	}
 	had, known := o.facts[f.Key]
 	switch {
@@ -162,9 +163,10 @@
 	return true
 }
 
-// ahead tells whether an incarnation cannot have begun yet. A refuted end makes it a little higher than its start.
-func (v *View) ahead(now time.Duration, incarnation uint64) bool {
-	return incarnation > uint64((now + 2*v.bounds.Ahead).Milliseconds())
+// ahead tells whether what was said at a time by an incarnation is of the future. A refuted end makes an incarnation a little
+// higher than its start.
+func (b Bounds) ahead(now, at time.Duration, incarnation uint64) bool {
+	return at > now+b.Ahead || incarnation > uint64((now+2*b.Ahead).Milliseconds())
 }
 
 // above orders facts of one owner, incarnation and key. An owner makes no two with one sequence; if one does, as when two
@@ -179,7 +181,7 @@
 	case e.Owner == "" || len(e.Owner) > v.bounds.Name:
 		v.Count.Large++
 		return false
-	case e.At > now+v.bounds.Ahead || v.ahead(now, e.Incarnation):
+	case v.bounds.ahead(now, e.At, e.Incarnation):
 		v.Count.Ahead++
 		return false
 	case e.At < now-2*v.bounds.Forget:
@@ -197,16 +199,19 @@
 		v.Count.Old++
 		return false
 	} else if e.Incarnation == o.incarnation && o.gone {
-		if e.At > o.at { // found twice: it is remembered from the later time on, everywhere
-			v.digest += endHash(e.Owner, e.Incarnation, e.At) - endHash(e.Owner, o.incarnation, o.at)
-			o.at = e.At
-			return true
+		// Found twice: it is remembered from the later time on, and its own word goes before others' finding, everywhere.
+		at, left := max(e.At, o.at), e.Left || o.left
+		if at == o.at && left == o.left {
+			return false
 		}
-		return false
+		v.digest -= o.endHash(e.Owner)
+		o.at, o.left = at, left
+		v.digest += o.endHash(e.Owner)
+		return true
 	}
 	v.clear(e.Owner, o)
-	o.incarnation, o.gone, o.at = e.Incarnation, true, e.At
-	v.digest += endHash(e.Owner, e.Incarnation, e.At)
+	o.incarnation, o.gone, o.left, o.at = e.Incarnation, true, e.Left, e.At
+	v.digest += o.endHash(e.Owner)
 	return true
 }
 
@@ -225,7 +230,7 @@
 		v.digest -= f.hash()
 	}
 	if o.gone {
-		v.digest -= endHash(name, o.incarnation, o.at)
+		v.digest -= o.endHash(name)
 	}
 	clear(o.facts)
 }
@@ -259,6 +264,28 @@
 	return names
 }
 
+// Gone are the ends that are remembered, by name in order.
+func (v *View) Gone() (ends []End) {
+	for _, name := range slices.Sorted(maps.Keys(v.owners)) {
+		if o := v.owners[name]; o.gone {
+			ends = append(ends, o.end(name))
+		}
+	}
+	return ends
+}
+
+// Extent is how many facts are held, and when the oldest was said.
+func (v *View) Extent() (facts int, oldest time.Duration) {
+	for _, o := range v.owners {
+		for _, f := range o.facts {
+			if facts++; oldest == 0 || f.At < oldest {
+				oldest = f.At
+			}
+		}
+	}
+	return facts, oldest
+}
+
 // Incarnation is the highest one known of a pooler, and whether it is gone; 0 where nothing is known.
 func (v *View) Incarnation(name string) (incarnation uint64, gone bool) {
 	if o := v.owners[name]; o != nil {
@@ -278,12 +305,18 @@
 	return facts
 }
 
+// Left tells whether a pooler is gone by its own word.
+func (v *View) Left(name string) bool {
+	o := v.owners[name]
+	return o != nil && o.gone && o.left
+}
+
 // All returns everything, in a fixed order, to be told to one who knows nothing.
 func (v *View) All() (d Delta) {
 	for _, name := range slices.Sorted(maps.Keys(v.owners)) {
 		o := v.owners[name]
 		if o.gone {
-			d.Ends = append(d.Ends, End{Owner: name, Incarnation: o.incarnation, At: o.at})
+			d.Ends = append(d.Ends, o.end(name))
 		}
 		keys := slices.SortedFunc(maps.Keys(o.facts), func(a, b Key) int {
 			return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Subject, b.Subject))
@@ -301,7 +334,7 @@
 	for name, o := range v.owners {
 		sum := uint64(0)
 		if o.gone {
-			sum = endHash(name, o.incarnation, o.at)
+			sum = o.endHash(name)
 		}
 		for _, f := range o.facts {
 			sum += f.hash()
@@ -330,9 +363,18 @@
 	return spread(h.Sum64())
 }
 
-func endHash(owner string, incarnation uint64, at time.Duration) uint64 {
+// end is that of a pooler that is gone.
+func (o *owner) end(name string) End {
+	return End{Owner: name, Incarnation: o.incarnation, At: o.at, Left: o.left}
+}
+
+func (o *owner) endHash(name string) uint64 {
 	h := fnv.New64a()
-	h.Write(binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64([]byte(owner+"\x00end"), incarnation), uint64(at)))
+	text := []byte(name + "\x00end")
+	if o.left {
+		text[len(text)-1]++
+	}
+	h.Write(binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(text, o.incarnation), uint64(o.at)))
 	return spread(h.Sum64())
 }
 
@@ -380,18 +422,26 @@
 	return d
 }
 
+// Leave is the author's word that it ends. Nothing is to be said or refuted after it.
+func (a *Author) Leave(now time.Duration) Delta {
+	return Delta{Ends: []End{{Owner: a.name, Incarnation: a.incarnation, At: now, Left: true}}}
+}
+
 // Refute takes in what is told of the author's own name. A pooler that is told of its own end while it lives, or that
 // somebody with a higher incarnation bears its name, goes on with one that is higher still, and says all again: it
 // returns true.
-func (a *Author) Refute(d Delta) bool {
+//
+// What views turn down as of the future it does not answer: one higher still would be turned down as well, and the pooler would
+// never be heard again.
+func (a *Author) Refute(now time.Duration, d Delta) bool {
 	highest, wrong := a.incarnation, false
 	for _, e := range d.Ends {
-		if e.Owner == a.name && e.Incarnation >= a.incarnation {
+		if e.Owner == a.name && e.Incarnation >= a.incarnation && !a.bounds.ahead(now, e.At, e.Incarnation) {
 			highest, wrong = max(highest, e.Incarnation), true
 		}
 	}
 	for _, f := range d.Facts {
-		if f.Owner == a.name && f.Incarnation > a.incarnation {
+		if f.Owner == a.name && f.Incarnation > a.incarnation && !a.bounds.ahead(now, f.At, f.Incarnation) {
 			highest, wrong = max(highest, f.Incarnation), true
 		}
 	}
--- a/internal/fleet/view_test.go
+++ b/internal/fleet/view_test.go
@@ -35,7 +35,7 @@
 				}
 			}
 			for range random.IntN(3) { // by several who found it
-				all = append(all, Delta{Ends: []End{{name, a.Incarnation(), now + time.Duration(random.IntN(9))*time.Second}}})
+				all = append(all, Delta{Ends: []End{{name, a.Incarnation(), now + time.Duration(random.IntN(9))*time.Second, random.IntN(2) == 0}}})
 			}
 		}
 	}
@@ -80,7 +80,7 @@
 	a.Merge(now, both)
 	b.Merge(now, both)
 	a.Merge(now, NewAuthor("mine", 1, DefaultBounds()).Say(now, map[Key][]byte{{}: []byte("y")}))
-	b.Merge(now, Delta{Ends: []End{{"theirs", 4, now}}})
+	b.Merge(now, Delta{Ends: []End{{"theirs", 4, now, false}}})
 	require.Len(t, a.Missing(b.Summary()).Facts, 1)
 	require.Empty(t, a.Missing(b.Summary()).Ends)
 	require.NotEqual(t, a.Digest(), b.Digest())
@@ -101,7 +101,7 @@
 	old := say(5, now)
 	v.Merge(now, old)
 	require.Equal(t, []string{"n"}, v.Live())
-	v.Merge(now, Delta{Ends: []End{{"n", 5, now + time.Second}}})
+	v.Merge(now, Delta{Ends: []End{{"n", 5, now + time.Second, false}}})
 	require.Empty(t, v.Live())
 	v.Merge(now+time.Second, old)
 	require.Empty(t, v.Live(), "a late message")
@@ -115,7 +115,7 @@
 
 	v.Merge(now, say(7, now))
 	v.Merge(now, say(6, now))
-	v.Merge(now, Delta{Ends: []End{{"n", 6, now}}})
+	v.Merge(now, Delta{Ends: []End{{"n", 6, now, false}}})
 	incarnation, gone := v.Incarnation("n")
 	require.Equal(t, uint64(7), incarnation)
 	require.False(t, gone)
@@ -144,16 +144,16 @@
 	} {
 		require.True(t, v.Merge(now, fact(wrong)).Empty())
 	}
-	require.True(t, v.Merge(now, Delta{Ends: []End{{"", 1, now}, {"n", 1 << 63, now}, {"n", 1, now + time.Hour}, {"n", 1, 0}}}).Empty())
+	require.True(t, v.Merge(now, Delta{Ends: []End{{"", 1, now, false}, {"n", 1 << 63, now, false}, {"n", 1, now + time.Hour, false}, {"n", 1, 0, false}}}).Empty())
 	require.True(t, v.All().Empty())
 	for i := range 9 {
 		v.Merge(now, fact(func(f *Fact) { f.Key = Key{OfDatabase, fmt.Sprint(i)} }))
 		v.Merge(now, fact(func(f *Fact) { f.Owner = fmt.Sprint("n", i) }))
-		v.Merge(now, Delta{Ends: []End{{fmt.Sprint("m", i), 1, now}}})
+		v.Merge(now, Delta{Ends: []End{{fmt.Sprint("m", i), 1, now, false}}})
 	}
 	require.Len(t, v.Live(), 2)
 	require.Len(t, v.All().Facts, 3)
-	require.Equal(t, Counters{Old: 2, Ahead: 4, Large: 7, Crowd: 7 + 8 + 9}, v.Count)
+	require.Equal(t, ViewCounters{Old: 2, Ahead: 4, Large: 7, Crowd: 7 + 8 + 9}, v.Count)
 }
 
 // An author says what has changed, and the rest again before it is forgotten; told of its own end it refutes it.
@@ -176,13 +176,16 @@
 	v.Forget(at + bounds.Forget)
 	require.Empty(t, v.Of(Key{OfDatabase, "a"}))
 
-	require.False(t, a.Refute(Delta{Ends: []End{{"n", 2, at}, {"m", 9, at}}}))
-	end := Delta{Ends: []End{{"n", 3, at}}}
+	require.False(t, a.Refute(at, Delta{Ends: []End{{"n", 2, at, false}, {"m", 9, at, false}}}))
+	end := Delta{Ends: []End{{"n", 3, at, false}}}
 	v.Merge(at, end)
-	require.True(t, a.Refute(end))
+	require.True(t, a.Refute(at, end))
 	v.Merge(at, a.Say(at, values))
 	require.Equal(t, []string{"n"}, v.Live())
-	require.True(t, a.Refute(Delta{Facts: []Fact{{Owner: "n", Incarnation: 9, At: at}}}), "another bears its name")
+	require.True(t, a.Refute(at, Delta{Facts: []Fact{{Owner: "n", Incarnation: 9, At: at}}}), "another bears its name")
+	require.Equal(t, uint64(10), a.Incarnation())
+	require.False(t, a.Refute(at, Delta{Facts: []Fact{{Owner: "n", Incarnation: 1 << 63, At: at}}}), "of the future: it would never be heard again")
+	require.False(t, a.Refute(at, Delta{Ends: []End{{"n", 11, at + time.Hour, false}}}))
 	require.Equal(t, uint64(10), a.Incarnation())
 }
 
--- /dev/null
+++ b/internal/fleet/word.go
@@ -0,0 +1,176 @@
+package fleet
+
+import (
+	"encoding/binary"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// State is what a pooler takes a database for, by its own evidence alone.
+type State uint8
+
+const (
+	Unheard State = iota // there is no evidence
+	Answers
+	Silent  // it leaves requests unanswered
+	Failing // it answers with errors, or breaks connections
+	Absent  // its machine says that no process listens
+)
+
+var states = [...]string{"unheard", "answers", "silent", "failing", "absent"}
+
+func (s State) String() string { return states[s] }
+
+// Bad tells whether a pooler sends the database no requests.
+func (s State) Bad() bool { return s >= Silent }
+
+func (s State) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+func (s *State) UnmarshalText(text []byte) error {
+	i := slices.Index(states[:], string(text))
+	if i < 0 {
+		return fmt.Errorf("no state of a database: %q", text)
+	}
+	*s = State(i)
+	return nil
+}
+
+// Sight is what this pooler sees of one database now. Times are since the Unix epoch.
+type Sight struct {
+	Database  string
+	State     State
+	Cold      bool
+	Primary   bool          // by evidence, not by the list
+	Position  time.Duration // the last proven one
+	Heard     time.Duration // the last answer of any kind; 0: none
+	MayAsk    bool          // a probe may be sent there
+	Connected int           // connections to it
+}
+
+// Word is what a pooler says of one database. It changes only when the state does, so that views come to rest.
+type Word struct {
+	State   State `json:"state"`
+	Cold    bool  `json:"cold,omitempty"`
+	Primary bool  `json:"primary,omitempty"`
+	Since   int64 `json:"since"`              // Unix ms: when it became so, as the owner saw it
+	At      int64 `json:"position,omitempty"` // Unix ms: of a primary, the position when its owner first saw it lead
+}
+
+// same tells whether nothing but the times differs.
+func (w Word) same(o Word) bool {
+	return w.State == o.State && w.Cold == o.Cold && w.Primary == o.Primary
+}
+
+// plain tells whether the word need not be said: what all take for granted.
+func (w Word) plain() bool { return !w.State.Bad() && !w.Cold && !w.Primary }
+
+// flags of a word on the wire.
+const (
+	coldFlag = 1 << iota
+	primaryFlag
+)
+
+// Append writes the word: state, flags, and the times as varints. It is read some thousand times a period.
+func (w Word) Append(b []byte) []byte {
+	var flags byte
+	if w.Cold {
+		flags |= coldFlag
+	}
+	if w.Primary {
+		flags |= primaryFlag
+	}
+	return binary.AppendUvarint(binary.AppendUvarint(append(b, byte(w.State), flags), uint64(w.Since)), uint64(w.At))
+}
+
+// ParseWord reads one. Words of a newer version may have more flags, and more behind them.
+func ParseWord(value []byte) (w Word, ok bool) {
+	if len(value) < 4 || int(value[0]) >= len(states) {
+		return w, false
+	}
+	w.State, w.Cold, w.Primary = State(value[0]), value[1]&coldFlag != 0, value[1]&primaryFlag != 0
+	since, n := binary.Uvarint(value[2:])
+	if n <= 0 || since == 0 || since > 1<<62 {
+		return w, false
+	}
+	at, m := binary.Uvarint(value[2+n:])
+	w.Since, w.At = int64(since), int64(at)
+	return w, m > 0 && at <= 1<<62
+}
+
+// Reporter turns what a pooler sees into what it says of databases. Said is what is not plain, what was not plain a while ago,
+// and where another has said otherwise, so that a fault that one alone sees shows as that.
+type Reporter struct {
+	said  map[string]spoken
+	keeps time.Duration
+}
+
+type spoken struct {
+	word Word
+	last time.Duration // when it was last not plain, or contested
+}
+
+// NewReporter returns a reporter that goes on with a word for so long after it has become plain. It must be longer than it takes
+// to tell all, as what is no longer said stays in others' views until it is old.
+func NewReporter(keeps time.Duration) *Reporter {
+	return &Reporter{said: map[string]spoken{}, keeps: keeps}
+}
+
+// Says returns the facts on databases. Contested names those of which another pooler says that they are bad.
+func (r *Reporter) Says(now time.Duration, sights []Sight, contested func(database string) bool) map[Key][]byte {
+	values, seen := map[Key][]byte{}, map[string]bool{}
+	for _, s := range sights {
+		seen[s.Database] = true
+		w := Word{State: s.State, Cold: s.Cold, Primary: s.Primary}
+		had, known := r.said[s.Database]
+		if known && had.word.same(w) {
+			w = had.word
+		} else {
+			w.Since = now.Milliseconds()
+			if s.Primary {
+				w.At = s.Position.Milliseconds()
+			}
+		}
+		k := spoken{w, had.last}
+		switch {
+		case !w.plain() || w.State == Answers && contested(s.Database):
+			k.last = now
+		case !known:
+			continue // it is, and was, plain
+		}
+		if now-k.last >= r.keeps {
+			delete(r.said, s.Database)
+			continue
+		}
+		r.said[s.Database] = k
+		values[Key{OfDatabase, s.Database}] = w.Append(nil)
+	}
+	for name := range r.said { // databases that are no more
+		if !seen[name] {
+			delete(r.said, name)
+		}
+	}
+	return values
+}
+
+// Heard is what one live pooler says of a database.
+type Heard struct {
+	Pooler string `json:"pooler"`
+	Word
+}
+
+// Words is what live poolers say of each database, in the order of their names.
+func (v *View) Words() map[string][]Heard {
+	words := map[string][]Heard{}
+	for _, name := range v.Live() {
+		for key, f := range v.owners[name].facts {
+			if key.Kind != OfDatabase {
+				continue
+			}
+			if w, ok := ParseWord(f.Value); ok {
+				words[key.Subject] = append(words[key.Subject], Heard{name, w})
+			}
+		}
+	}
+	return words
+}
--- a/internal/net/front.go
+++ b/internal/net/front.go
@@ -55,6 +55,9 @@
 	return f
 }
 
+// Clients is how many connections of clients there are.
+func (f *Front) Clients() int { return len(f.clients) }
+
 // Limit bounds how many more clients there may be than now, within the limits that the front was given.
 func (f *Front) Limit(l limits.Limits, more int) {
 	f.limits.Clients = min(l.Clients, len(f.clients)+more)
--- a/internal/net/pool.go
+++ b/internal/net/pool.go
@@ -28,13 +28,14 @@
 	log     zerolog.Logger
 	core    *core.Core
 	servers map[choice.NodeID]*server
-	links   int           // open and dialled, over all servers
-	logged  time.Duration // when a bad reply was last logged
+	links   int            // open and dialled, over all servers
+	keep    map[string]int // idle connections to each database by its name, where poolers divide them; nil: IdleEach
+	logged  time.Duration  // when a bad reply was last logged
 }
 
 // PoolCounters count connections to databases.
 type PoolCounters struct {
-	Dials, DialsFailed, Reused, Stale, Expired, Evicted, TooLate, Capped, Unasked, BadReplies, Long int64
+	Dials, DialsFailed, Reused, Stale, Expired, Evicted, Divided, TooLate, Capped, Unasked, BadReplies, Long int64
 }
 
 // server is one database.
@@ -116,9 +117,31 @@
 	p.limits.ConnectTimeout, p.limits.ProbeTimeout, p.limits.ServerIdle = l.ConnectTimeout, l.ProbeTimeout, l.ServerIdle
 }
 
+// Links is how many connections there are, dials included.
+func (p *Pool) Links() int { return p.links }
+
 // Limit bounds how many more connections there may be than now, within the limits that the pool was given.
 func (p *Pool) Limit(l limits.Limits, more int) { p.limits.Servers = min(l.Servers, p.links+more) }
 
+// Keep bounds how many idle connections are kept to each database, by its name, within the pool's own limit. It never keeps a
+// request from its connection. Nil is back to that limit, as is a name that is missing.
+func (p *Pool) Keep(most map[string]int) {
+	p.keep = most
+	for _, s := range p.servers {
+		for len(s.idle) > p.idleMost(s) {
+			p.Count.Divided++
+			s.idle[0].close()
+		}
+	}
+}
+
+func (p *Pool) idleMost(s *server) int {
+	if most, divided := p.keep[s.member.Name]; divided {
+		return min(most, p.limits.IdleEach)
+	}
+	return p.limits.IdleEach
+}
+
 // ---- Attempts and probes
 
 // Send begins an attempt.
@@ -414,7 +437,7 @@
 		j := s.waiting[0]
 		s.unqueue(j)
 		l.carry(j)
-	case len(s.idle) >= l.pool.limits.IdleEach:
+	case len(s.idle) >= l.pool.idleMost(s):
 		l.close()
 	default:
 		s.idle = append(s.idle, l)
--- /dev/null
+++ b/internal/testbed/fleet.go
@@ -0,0 +1,243 @@
+package testbed
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"os/exec"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"capercove/internal/fleet/gossip"
+	"capercove/internal/rig"
+)
+
+// Fleet is several poolers of the shipped program on addresses of their own, with a relay of the rig between each pair of them, and
+// all before the same databases.
+type Fleet struct {
+	T     *testing.T
+	Net   *rig.Net
+	Names []string
+	Beds  map[string]*Bed
+
+	own, public map[string]string
+	seeds       []string // names
+	tables      string   // more of table [fleet]
+	options     []Option
+	paused      map[string]bool
+	down        map[string]bool
+}
+
+var fleets atomic.Int32 // of this test process
+
+// FleetPatience is how long a fleet may take to settle on a busy machine.
+const FleetPatience = 120 * time.Second
+
+// NewFleet prepares n poolers; none is started. Seeds are the names of those that each is told of; more are lines of [fleet].
+func NewFleet(t *testing.T, seed uint64, n int, seeds []string, more string, options ...Option) *Fleet {
+	f := &Fleet{T: t, Net: rig.New(seed), Beds: map[string]*Bed{}, own: map[string]string{}, public: map[string]string{}, seeds: seeds,
+		tables: more, options: options, paused: map[string]bool{}, down: map[string]bool{}}
+	pid, number := os.Getpid(), byte(fleets.Add(1))
+	for i := range n {
+		name := fmt.Sprint("n", i)
+		// A loopback network for each fleet of a test process: the relays tell poolers apart by where they send from.
+		own := netip.AddrFrom4([4]byte{127, 130 + number%60, byte(pid % 250), byte(1 + i)})
+		l, u, err := rig.Listen(netip.AddrPortFrom(own, 0))
+		require.NoError(t, err)
+		at := l.Addr().(*net.TCPAddr).AddrPort()
+		l.Close()
+		u.Close()
+		f.Net.Register(name, own)
+		r, err := f.Net.Stand(name, netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 190 + number%60, byte(pid % 250), byte(1 + i)}), 0), at)
+		require.NoError(t, err)
+		t.Cleanup(r.Close)
+		f.Names = append(f.Names, name)
+		f.own[name], f.public[name] = at.String(), r.Addr()
+	}
+	t.Cleanup(func() { t.Log(f.Net.Course()) }) // shown where the test fails, or with -v
+	return f
+}
+
+// Start starts a pooler that has not run yet.
+func (f *Fleet) Start(name string, more ...Option) *Bed {
+	var seeds []string
+	for _, s := range f.seeds {
+		if s != name {
+			seeds = append(seeds, fmt.Sprintf("%q", f.public[s]))
+		}
+	}
+	options := []Option{WithName(name), WithTables(fmt.Sprintf(
+		"[fleet]\nenabled = true\ncluster = \"c\"\nlisten = %q\nadvertise = %q\nseeds = [%s]\n%s\n", f.own[name], f.public[name], strings.Join(seeds, ", "),
+		f.tables))}
+	for _, b := range f.Beds { // any will do
+		options = append(options, Beside(b))
+		break
+	}
+	f.Beds[name] = Start(f.T, append(append(options, f.options...), more...)...)
+	return f.Beds[name]
+}
+
+// StartAll starts all poolers, in the order of their names.
+func (f *Fleet) StartAll() {
+	for _, name := range f.Names {
+		f.Start(name)
+	}
+}
+
+// Public is where the others reach a pooler.
+func (f *Fleet) Public(name string) string { return f.public[name] }
+
+// State is a pooler's view.
+func (f *Fleet) State(name string) (s gossip.State) {
+	code, body := f.Beds[name].Call("GET", "/fleet")
+	require.Equal(f.T, 200, code, body)
+	require.NoError(f.T, json.Unmarshal([]byte(body), &s))
+	return s
+}
+
+// Settled waits until these poolers hold the same, and take each other and nobody else for live; it returns how long that took.
+func (f *Fleet) Settled(what string, names ...string) time.Duration {
+	f.T.Helper()
+	slices.Sort(names)
+	begun := time.Now()
+	require.Eventually(f.T, func() bool { return f.settled(names) }, FleetPatience, 20*time.Millisecond, "%s: %v settle", what, names)
+	took := time.Since(begun)
+	f.Net.Note("%s: %v have settled after %.1f s", what, names, took.Seconds())
+	return took
+}
+
+func (f *Fleet) settled(names []string) bool {
+	var first gossip.State
+	for i, name := range names {
+		s := f.State(name)
+		if i == 0 {
+			first = s
+		}
+		if s.Digest != first.Digest || !slices.Equal(s.Live, names) {
+			return false
+		}
+		for _, p := range s.Poolers {
+			if p.State == "live" && len(p.Says) == 0 || p.State == "suspected" {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// Periods waits until each of these poolers, which run, has talked for so many more periods: time in which something could have
+// happened, as long as it takes on this machine.
+func (f *Fleet) Periods(more int, names ...string) {
+	f.T.Helper()
+	until := map[string]int64{}
+	for _, name := range names {
+		until[name] = f.State(name).Periods + int64(more)
+	}
+	require.Eventually(f.T, func() bool {
+		for name, n := range until {
+			if f.State(name).Periods < n {
+				return false
+			}
+		}
+		return true
+	}, FleetPatience, 20*time.Millisecond, "%v go on for %d periods", names, more)
+}
+
+// Command runs a sub-command of the program.
+func (f *Fleet) Command(args ...string) (out string, status int) {
+	program := exec.Command(Binary(f.T), args...)
+	text, _ := program.CombinedOutput()
+	return string(text), program.ProcessState.ExitCode()
+}
+
+// Serve lets each of these poolers serve a write.
+func (f *Fleet) Serve(what string, names ...string) {
+	f.T.Helper()
+	for _, name := range names {
+		b := f.Beds[name]
+		require.True(f.T, b.Client().Ask(b.Statement("write", "a", Patience)).Complete, "%s: %s serves", what, name)
+	}
+}
+
+// Kill ends a pooler at once.
+func (f *Fleet) Kill(name string) {
+	f.Net.Note("kill %s", name)
+	require.NoError(f.T, f.Beds[name].Process().Kill())
+	f.Beds[name].Wait()
+	f.down[name] = true
+}
+
+// Restart starts one again that was killed or has ended, with nothing in mind.
+func (f *Fleet) Restart(name string) {
+	f.Net.Note("restart %s", name)
+	f.Beds[name].Run()
+	delete(f.down, name)
+}
+
+// Pause stops a pooler; Resume lets it go on.
+func (f *Fleet) Pause(name string) {
+	f.Net.Note("pause %s", name)
+	f.Beds[name].Signal(syscall.SIGSTOP)
+	f.paused[name] = true
+}
+
+// Resume lets a paused pooler go on.
+func (f *Fleet) Resume(name string) {
+	f.Net.Note("resume %s", name)
+	f.Beds[name].Signal(syscall.SIGCONT)
+	delete(f.paused, name)
+}
+
+// Terminate ends a pooler by SIGTERM and waits for its end.
+func (f *Fleet) Terminate(name string) {
+	f.Net.Note("terminate %s", name)
+	f.Beds[name].Signal(syscall.SIGTERM)
+	require.NoError(f.T, f.Beds[name].Wait())
+	f.down[name] = true
+}
+
+// Running are those that neither were killed nor are paused, sorted.
+func (f *Fleet) Running() (names []string) {
+	for _, name := range f.Names {
+		if f.Beds[name] != nil && !f.down[name] && !f.paused[name] {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// Do carries out one step of a schedule.
+func (f *Fleet) Do(s rig.Step) {
+	switch s.What {
+	case rig.Kill:
+		f.Kill(s.One)
+	case rig.Restart:
+		f.Restart(s.One)
+	case rig.Pause:
+		f.Pause(s.One)
+	case rig.Resume:
+		f.Resume(s.One)
+	default:
+		f.Net.Apply(s)
+	}
+}
+
+// Logs tell whether any pooler has printed a text.
+func (f *Fleet) Logs(with string) (lines []string) {
+	for _, name := range f.Names {
+		if b := f.Beds[name]; b != nil {
+			if line := b.Line(with); line != "" {
+				lines = append(lines, line)
+			}
+		}
+	}
+	return lines
+}
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -89,6 +89,11 @@
 // WithTables adds tables to the operators' file.
 func WithTables(text string) Option { return func(b *Bed) { b.Tables += text + "\n" } }
 
+// Beside puts the pooler before another bed's databases.
+func Beside(other *Bed) Option {
+	return func(b *Bed) { b.Databases, b.Known = other.Databases, other.Known }
+}
+
 // WithListener lets the program inherit the clients' listening socket.
 func WithListener(b *Bed) {
 	l, err := net.Listen("tcp", b.Addr)
