Let scenarios have poolers that talk, with faults between them, and compare two scenario files for real

Seen: the lab plays several poolers, but none could talk to each other, nothing could be cut between them, and what the fleet's uses gain could not be measured: compare took two programs, or two files in the model alone. The place of a process behind a relay, written in two tests, stands once in rig.Place. Links and the errors of bad targets in internal/world.

--- a/cmd/capercove-lab/main.go
+++ b/cmd/capercove-lab/main.go
@@ -208,21 +208,21 @@
 	var most int
 	var budget time.Duration
 	var width float64
-	c := &cobra.Command{Use: "compare A B SCENARIO", Short: "Compare two poolers (or, with --model, two scenario files A and B) by paired runs",
+	c := &cobra.Command{Use: "compare A B SCENARIO", Short: "Compare two poolers, or two scenario files A and B, by paired runs",
 		Long: "Plays the scenario with both, paired by seed, until the interval of the difference is as narrow as asked or the budget is spent.\n" +
-			"With --model, A and B are scenario files that differ in what is to be compared, and SCENARIO is left out.",
+			"Without SCENARIO, A and B are scenario files that differ in what is to be compared; with --model, they are played in the model.",
 		Args: cobra.RangeArgs(2, 3)}
 	c.Flags().BoolVar(&inModel, "model", false, "compare two scenario files in the model")
 	c.Flags().IntVar(&most, "runs", 30, "pairs at the most")
 	c.Flags().DurationVar(&budget, "budget", 10*time.Minute, "time at the most")
 	c.Flags().Float64Var(&width, "width", 0.02, "width of the interval that is narrow enough")
 	c.RunE = func(c *cobra.Command, args []string) error {
-		if inModel != (len(args) == 2) {
-			return status{usage, errors.New("compare A B SCENARIO with poolers, compare --model A B with scenario files")}
+		if inModel && len(args) != 2 {
+			return status{usage, errors.New("compare A B SCENARIO with poolers, compare [--model] A B with scenario files")}
 		}
 		one := func(which int, seed uint64) (float64, error) {
-			path, program := args[which], ""
-			if !inModel {
+			path, program := args[which], binary()
+			if len(args) == 3 {
 				path, program = args[2], args[which]
 			}
 			w, err := world.LoadFile(path)
--- a/internal/fleet/gossip/gossip_test.go
+++ b/internal/fleet/gossip/gossip_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"net"
 	"net/netip"
 	"slices"
 	"sync"
@@ -65,17 +64,11 @@
 	for i := range n {
 		name := fmt.Sprint("n", i)
 		own := netip.AddrFrom4([4]byte{127, 78, byte(seed), byte(i + 1)})
-		l, u, err := rig.Listen(netip.AddrPortFrom(own, 0))
-		require.NoError(t, err)
-		at := l.Addr().(*net.TCPAddr).AddrPort()
-		l.Close()
-		u.Close()
-		m.net.Register(name, own)
-		r, err := m.net.Stand(name, netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 79, byte(seed), byte(i + 1)}), 0), at)
+		listen, r, err := m.net.Place(name, own, netip.AddrFrom4([4]byte{127, 79, byte(seed), byte(i + 1)}))
 		require.NoError(t, err)
 		t.Cleanup(r.Close)
 		m.names = append(m.names, name)
-		m.public[name], m.own[name] = r.Addr(), at.String()
+		m.public[name], m.own[name] = r.Addr(), listen
 	}
 	t.Cleanup(func() {
 		for _, g := range m.up {
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -54,7 +54,7 @@
 
 // Short scenarios with real poolers keep the rules: each request one answer, no write twice, whoever dies.
 func TestRealRuns(t *testing.T) {
-	for _, name := range []string{"calm", "primary-killed", "mislabelled"} {
+	for _, name := range []string{"calm", "primary-killed", "mislabelled", "poolers-apart"} {
 		w := scenario(t, name, 6)
 		for i := range w.Faults {
 			w.Faults[i].At, w.Faults[i].For = 2, 2
--- a/internal/lab/real.go
+++ b/internal/lab/real.go
@@ -87,8 +87,13 @@
 		}
 	}()
 	var addrs []string
+	talk, err := newTalk(w)
+	if err != nil {
+		return nil, fmt.Errorf("the links between poolers: %w", err)
+	}
+	defer talk.close()
 	for i := range w.Poolers {
-		p, err := startPooler(fleet, i, o)
+		p, err := startPooler(fleet, i, o, talk.table(i))
 		if err != nil {
 			return nil, err
 		}
@@ -104,7 +109,11 @@
 	var d *load.Driver
 	fleet.Clock.Wait(func() {
 		target.Unasked = func(request string) { fleet.Ledger.Unasked(fleet.Clock.Now(), request) }
-		fleet.Pooler = func(x world.Fault) { faulty(fleet, poolers, x) }
+		fleet.Pooler = func(x world.Fault) {
+			if !talk.faulty(fleet, x) {
+				faulty(fleet, poolers, x)
+			}
+		}
 		fleet.Begin()
 		d = load.NewDriver(w, fleet.Clock, fleet.Ledger, target)
 		d.Start()
@@ -220,7 +229,7 @@
 	memory   float64
 }
 
-func startPooler(fleet *standin.Fleet, i int, o Options) (*process, error) {
+func startPooler(fleet *standin.Fleet, i int, o Options, more string) (*process, error) {
 	addr, err := free(o.Host)
 	if err != nil {
 		return nil, err
@@ -235,7 +244,7 @@
 	}
 	path := func(what string) string { return filepath.Join(o.Dir, fmt.Sprintf("pooler-%d%s", i, what)) }
 	p := &process{binary: o.Binary, config: path(".json"), own: path(".toml"), log: path(".log"), addr: addr}
-	if err := errors.Join(os.WriteFile(p.config, text, 0o600), os.WriteFile(p.own, []byte(fleet.World.Operator()), 0o600)); err != nil {
+	if err := errors.Join(os.WriteFile(p.config, text, 0o600), os.WriteFile(p.own, []byte(fleet.World.Operator()+more), 0o600)); err != nil {
 		return nil, err
 	}
 	tmp := path(".tmp")
--- a/internal/rig/relay.go
+++ b/internal/rig/relay.go
@@ -71,6 +71,23 @@
 	return r, nil
 }
 
+// Place gives a process an address of its own to listen at and to send from, and puts a relay before it at a public one. Both are
+// loopback addresses that no other process may have; the ports are chosen.
+func (n *Net) Place(name string, own, public netip.Addr) (listen string, r *Relay, err error) {
+	l, u, err := Listen(netip.AddrPortFrom(own, 0))
+	if err != nil {
+		return "", nil, err
+	}
+	at := l.Addr().(*net.TCPAddr).AddrPort()
+	l.Close()
+	u.Close()
+	n.Register(name, own)
+	if r, err = n.Stand(name, netip.AddrPortFrom(public, 0), at); err != nil {
+		return "", nil, err
+	}
+	return at.String(), r, nil
+}
+
 // Listen listens for TCP and UDP at one address. With port 0 it takes one that is free for both.
 func Listen(at netip.AddrPort) (t net.Listener, u *net.UDPConn, err error) {
 	for range 20 { // Against a port that is free for one alone.
--- a/internal/testbed/fleet.go
+++ b/internal/testbed/fleet.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -50,17 +49,11 @@
 		name := fmt.Sprint("n", i)
 		// A loopback network for each fleet of a test process: the relays tell poolers apart by where they send from.
 		own := netip.AddrFrom4([4]byte{127, 130 + number%60, byte(pid % 250), byte(1 + i)})
-		l, u, err := rig.Listen(netip.AddrPortFrom(own, 0))
-		require.NoError(t, err)
-		at := l.Addr().(*net.TCPAddr).AddrPort()
-		l.Close()
-		u.Close()
-		f.Net.Register(name, own)
-		r, err := f.Net.Stand(name, netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 190 + number%60, byte(pid % 250), byte(1 + i)}), 0), at)
+		listen, r, err := f.Net.Place(name, own, netip.AddrFrom4([4]byte{127, 190 + number%60, byte(pid % 250), byte(1 + i)}))
 		require.NoError(t, err)
 		t.Cleanup(r.Close)
 		f.Names = append(f.Names, name)
-		f.own[name], f.public[name] = at.String(), r.Addr()
+		f.own[name], f.public[name] = listen, r.Addr()
 	}
 	t.Cleanup(func() { t.Log(f.Net.Course()) }) // shown where the test fails, or with -v
 	return f
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -253,6 +253,17 @@
 	return pages * os.Getpagesize()
 }
 
+// CPU is the processor time that the program has used.
+func (b *Bed) CPU() time.Duration {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", b.process.Process.Pid))
+	require.NoError(b.T, err)
+	fields := strings.Fields(string(text[bytes.LastIndexByte(text, ')')+1:]))
+	var user, system int64
+	_, err = fmt.Sscan(fields[11]+" "+fields[12], &user, &system)
+	require.NoError(b.T, err)
+	return time.Duration(user+system) * 10 * time.Millisecond
+}
+
 // Private is how many bytes of memory are the program's alone: what its file holds is shared by all that run it.
 func (b *Bed) Private() (bytes int) {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", b.process.Process.Pid))
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -14,6 +14,7 @@
 	"github.com/pelletier/go-toml/v2"
 
 	"capercove/internal/config/tables"
+	"capercove/internal/fleet"
 )
 
 // World is a scenario file. Times are in seconds unless the key says milliseconds.
@@ -29,6 +30,7 @@
 
 	Door       bool   `toml:"door"`       // fair queues are on
 	Statements string `toml:"statements"` // off, observe or enforce
+	Fleet      Fleet  `toml:"fleet"`      // what poolers tell each other; the model's tell nothing
 
 	Server   Server   `toml:"server"`
 	Families []Family `toml:"families"`
@@ -61,6 +63,13 @@
 	NetworkMS   Range   `toml:"network_ms"` // one way, in the model; on sockets it is the machine's
 }
 
+// Fleet is table [fleet] of the operators' file, as far as a scenario says it.
+type Fleet struct {
+	Enabled bool    `toml:"enabled"`
+	Slower  float64 `toml:"slower"`
+	fleet.Uses
+}
+
 // Range is drawn from evenly.
 type Range [2]float64
 
@@ -103,8 +112,8 @@
 	At     float64 `toml:"at"`
 	For    float64 `toml:"for"`
 	Kind   string  `toml:"kind"`
-	Target string  `toml:"target"` // a database as g1-0, primary-1 for that group's leader, pooler-0, a zone, or discovery
-	Factor float64 `toml:"factor"` // of slow and lag; share of spoil
+	Target string  `toml:"target"` // a database as g1-0, primary-1 for that group's leader, pooler-0, a zone, or discovery; of links see Link
+	Factor float64 `toml:"factor"` // of slow and lag; share of spoil and loss
 	Bytes  int     `toml:"bytes"`  // of reset: the connection breaks after so many of an answer
 }
 
@@ -112,7 +121,7 @@
 var kinds = map[string]string{
 	"crash": "database", "hang": "database", "slow": "database", "drain": "database", "lag": "database",
 	"spoil": "database", "reset": "database", "usurp": "database", "cut": "zone", "discovery": "discovery",
-	"kill": "pooler", "restart": "pooler", "stop": "pooler",
+	"kill": "pooler", "restart": "pooler", "stop": "pooler", "part": "link", "loss": "link",
 }
 
 // List is how the list of databases comes.
@@ -279,6 +288,12 @@
 			return tables.Bad(key+".at", "%v for %v lies before the beginning", f.At, f.For)
 		case what == "database" && w.databases(f.Target) == 0:
 			return tables.Bad(key+".target", "%q is no database", f.Target)
+		case what == "link" && !w.Fleet.Enabled:
+			return tables.Bad(key+".kind", "%q: the poolers do not talk, fleet.enabled is false", f.Kind)
+		case what == "link" && w.Links(f.Target) == nil:
+			return tables.Bad(key+".target", "%q is neither a pooler nor two, as in \"pooler-0 pooler-1\" or \"pooler-0 > pooler-1\"", f.Target)
+		case f.Kind == "loss" && !(f.Factor > 0 && f.Factor <= 1):
+			return tables.Bad(key+".factor", "%v is no share above 0", f.Factor)
 		case what == "pooler" && !w.pooler(f.Target):
 			return tables.Bad(key+".target", "%q is no pooler", f.Target)
 		case (f.Kind == "slow" || f.Kind == "lag") && !(f.Factor > 0):
@@ -322,6 +337,32 @@
 	return false
 }
 
+// PoolerName is the name of a pooler.
+func PoolerName(i int) string { return fmt.Sprintf("pooler-%d", i) }
+
+// Links are the links between poolers that a target names, each one way: between one and all others, between two, or with ">" from
+// the one to the other alone. Nil: it names none.
+func (w *World) Links(target string) (links [][2]string) {
+	one, other, way := strings.Cut(target, ">")
+	if !way {
+		one, other, _ = strings.Cut(target, " ")
+	}
+	one, other = strings.TrimSpace(one), strings.TrimSpace(other)
+	if !w.pooler(one) || other != "" && (!w.pooler(other) || other == one) || way && other == "" {
+		return nil
+	}
+	for i := range w.Poolers {
+		name := PoolerName(i)
+		if name == one || other != "" && name != other {
+			continue
+		}
+		if links = append(links, [2]string{one, name}); !way {
+			links = append(links, [2]string{name, one})
+		}
+	}
+	return links
+}
+
 // Class returns a class by its name.
 func (w *World) Class(name string) *Class {
 	for i := range w.Classes {
