Decide in what order machines may be out for work, and explore the course of one step

Nothing stood of it: a database is banned by hand at each pooler, and nobody knows when its last request has ended or whether its sibling is out too.

--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -187,7 +187,7 @@
 	m.AdvertiseAddr, m.AdvertisePort = advertise.Addr().String(), int(advertise.Port())
 	m.Transport = transport{t, own.Addr()}
 	m.GossipInterval, m.ProbeInterval, m.ProbeTimeout = p.Period, p.Probe, p.Timeout
-	m.PushPullInterval = 10 * p.Rejoin
+	m.PushPullInterval = 2 * p.Rejoin // what news of members left out is made good by it, as when a cut of many is over
 	m.TCPTimeout = 4 * p.Timeout
 	m.DeadNodeReclaimTime = p.Rejoin // a pooler may come back under another address
 	m.Delegate, m.Events, m.Conflict, m.Ping, m.Logger = delegate{g}, events{g}, conflicts{g}, pings{g}, out
--- /dev/null
+++ b/internal/works/plan.go
@@ -0,0 +1,320 @@
+// Package works decides in what order machines are taken out for work, and takes each through its course. It is pure: no clock,
+// goroutine or I/O. What is agreed stands in a record elsewhere; here it is a value that is handed in and returned.
+package works
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kind is what a machine is.
+type Kind uint8
+
+const (
+	Database Kind = iota
+	Pooler
+)
+
+// Machine is one that may be taken out, as it is seen now by enough poolers.
+type Machine struct {
+	Name    string
+	Kind    Kind
+	Group   int // of a database
+	Zone    string
+	Size    float64 // what it can do when warm, in the unit of the load
+	Up      bool    // it is seen well
+	Warm    bool
+	Fresh   bool // a replica: near enough to its primary to serve every class, and to take over
+	Primary bool // of a database
+	Leads   bool // of a pooler: the record's leader
+	Cut     bool // its zone cannot be reached: what is seen of it says nothing
+}
+
+// ready tells whether the machine does all that it is there for.
+func (m *Machine) ready() bool {
+	return m.Up && m.Warm && !m.Cut && (m.Kind == Pooler || m.Primary || m.Fresh)
+}
+
+// Wish is what operators hand in.
+type Wish struct {
+	Machines []string // in the order in which they would have them, all else being equal
+	// Most are out at once, those that died by themselves among them; 0: one.
+	PerGroup, PerZone, InAll int
+	Margin                   float64       // share of what is left that must stay free, such as 0.2
+	Fresh                    int           // replicas that keep up and are left in each group, at the least
+	Takes                    time.Duration // expected for the work on one machine
+}
+
+// Check finds what is wrong with a wish. Machines are those that are known.
+func (w Wish) Check(known map[string]*Machine) error {
+	seen := map[string]bool{}
+	for i, name := range w.Machines {
+		if known[name] == nil {
+			return fmt.Errorf("machines[%d]: nobody is named %q", i, name)
+		}
+		if seen[name] {
+			return fmt.Errorf("machines[%d]: %q is there twice", i, name)
+		}
+		seen[name] = true
+	}
+	if len(w.Machines) == 0 {
+		return fmt.Errorf("machines: there are none")
+	}
+	for key, n := range map[string]int{"per_group": w.PerGroup, "per_zone": w.PerZone, "in_all": w.InAll, "fresh": w.Fresh} {
+		if n < 0 {
+			return fmt.Errorf("%s: %d is under 0", key, n)
+		}
+	}
+	if !(w.Margin >= 0 && w.Margin < 1) {
+		return fmt.Errorf("margin: %v is no share under 1", w.Margin)
+	}
+	if w.Takes < 0 {
+		return fmt.Errorf("takes: %v is under 0", w.Takes)
+	}
+	return nil
+}
+
+// Look is what is known now.
+type Look struct {
+	Machines map[string]*Machine
+	Load     map[int]float64 // of each group: what is expected for the time of the work, at the least what is asked now
+}
+
+// Decision is what may be done next. The zero value is nothing.
+type Decision struct {
+	Take     string            // may be taken out now; empty: none
+	HandOver [2]string         // a primary that is next, and the replica that is to take over first
+	AskBack  string            // is out, and is asked back as its group has become too small
+	Waits    map[string]string // why each of the others is not taken
+	Complete bool              // nothing is left to be done
+}
+
+// Next decides what may be done, given how far each machine of the wish is. It is called again at each change, as what is taken out
+// changes all that is left. Equal inputs give equal decisions.
+func Next(w Wish, at map[string]State, look Look) Decision {
+	d := Decision{Waits: map[string]string{}, Complete: true}
+	p := &planner{wish: w, at: at, look: look}
+	var left []*Machine
+	for _, name := range w.Machines {
+		if s := at[name]; !s.Over() {
+			d.Complete = false
+			if m := look.Machines[name]; s == Waiting && m != nil {
+				left = append(left, m)
+			} else if m == nil {
+				d.Waits[name] = "it is not known any more"
+			}
+		}
+	}
+	d.AskBack = p.back()
+	slices.SortStableFunc(left, p.before)
+	for _, m := range left {
+		why, to := p.forbids(m, left)
+		switch {
+		case d.AskBack != "":
+			why = fmt.Sprintf("%s is asked back first", d.AskBack)
+		case why == "" && (d.Take != "" || d.HandOver[0] != ""):
+			why = "another is next"
+		case why == "" && to != "":
+			d.HandOver = [2]string{m.Name, to}
+			why = fmt.Sprintf("%s has to take over first", to)
+		case why == "":
+			d.Take = m.Name
+			continue
+		}
+		d.Waits[m.Name] = why
+	}
+	return d
+}
+
+type planner struct {
+	wish Wish
+	at   map[string]State
+	look Look
+}
+
+// out tells whether a machine is out, be it by itself. One that has come back counts once it is ready.
+func (p *planner) out(m *Machine) bool { return p.at[m.Name].Out() || !m.ready() }
+
+// before orders those that are left: databases before poolers, replicas before their primary, the record's leader last, groups
+// with the most to spare first, then as they were wished.
+func (p *planner) before(a, b *Machine) int {
+	late := func(m *Machine) int {
+		if m.Primary || m.Leads {
+			return 1
+		}
+		return 0
+	}
+	return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(late(a), late(b)), -cmp.Compare(p.spare(a), p.spare(b)),
+		cmp.Compare(a.Group, b.Group))
+}
+
+// group are the machines that do the work of one, itself among them: the databases of its group, or all poolers.
+func (p *planner) group(m *Machine) (all []*Machine) {
+	for _, name := range slices.Sorted(maps.Keys(p.look.Machines)) {
+		if o := p.look.Machines[name]; o.Kind == m.Kind && (m.Kind == Pooler || o.Group == m.Group) {
+			all = append(all, o)
+		}
+	}
+	return all
+}
+
+// spare is what the group of a machine could do beyond its load without it.
+func (p *planner) spare(m *Machine) float64 {
+	sum := 0.0
+	for _, o := range p.group(m) {
+		if o != m && !p.out(o) {
+			sum += o.Size
+		}
+	}
+	if m.Kind == Pooler {
+		return sum
+	}
+	return sum*(1-p.wish.Margin) - p.look.Load[m.Group]
+}
+
+// forbids names the constraint that keeps a machine from being taken now, or else, of a primary, who has to take over first.
+func (p *planner) forbids(m *Machine, left []*Machine) (why, handOver string) {
+	if m.Cut {
+		return fmt.Sprintf("zone %s cannot be reached", m.Zone), ""
+	}
+	all, zone, group := 0, 0, 0
+	for _, o := range p.look.Machines {
+		if o == m || !p.out(o) {
+			continue
+		}
+		all++
+		if o.Zone == m.Zone && o.Kind == m.Kind {
+			zone++
+		}
+		if o.Kind == m.Kind && o.Kind == Database && o.Group == m.Group {
+			group++
+		}
+	}
+	for _, c := range []struct {
+		what       string
+		have, most int
+	}{{"in all", all, p.wish.InAll}, {"of zone " + m.Zone, zone, p.wish.PerZone}, {fmt.Sprintf("of group %d", m.Group), group, p.wish.PerGroup}} {
+		if most := max(1, c.most); c.have >= most {
+			return fmt.Sprintf("%d %s are out, %d at the most", c.have, c.what, most), ""
+		}
+	}
+	if m.Kind == Pooler {
+		if p.spare(m) <= 0 {
+			return "no other pooler is left", ""
+		}
+		for _, o := range left {
+			if o.Kind == Pooler && o != m && m.Leads {
+				return "it leads the record, and goes last", ""
+			}
+		}
+		return "", ""
+	}
+	fresh, near := 0, ""
+	for _, o := range p.group(m) {
+		if o == m || p.out(o) || o.Primary {
+			continue
+		}
+		if fresh++; near == "" || p.later(o, p.look.Machines[near]) {
+			near = o.Name
+		}
+	}
+	need := p.wish.Fresh
+	if m.Primary {
+		for _, o := range left {
+			if o != m && o.Kind == Database && o.Group == m.Group {
+				return fmt.Sprintf("replica %s goes before its primary", o.Name), ""
+			}
+		}
+		if near == "" {
+			return "no replica is near enough to take over", ""
+		}
+		need++ // the one that takes over is a replica no more
+	}
+	if fresh < need {
+		return fmt.Sprintf("%d replicas of group %d that keep up would be left, %d at the least", fresh, m.Group, need), ""
+	}
+	if spare := p.spare(m); spare < 0 {
+		return fmt.Sprintf("what is left of group %d would be short of %.2f for the load of %.2f", m.Group, -spare, p.look.Load[m.Group]), ""
+	}
+	if m.Primary {
+		return "", near
+	}
+	return "", ""
+}
+
+// later tells whether one is the better one to take over: rather one whose own work is done, so that no second hand-over follows.
+func (p *planner) later(a, b *Machine) bool { return p.at[a.Name].Over() && !p.at[b.Name].Over() }
+
+// back names the machine to ask back where a group has become too small since it was taken: of those that can still come back the
+// one that was not at work yet, by name.
+func (p *planner) back() string {
+	var free, work string
+	for _, name := range slices.Sorted(maps.Keys(p.at)) {
+		m := p.look.Machines[name]
+		if m == nil || m.Kind == Pooler || !p.at[name].Out() || p.at[name] >= Back {
+			continue
+		}
+		out := 0
+		for _, o := range p.group(m) {
+			if p.out(o) {
+				out++
+			}
+		}
+		if out <= max(1, p.wish.PerGroup) && p.spare(m) >= 0 {
+			continue
+		}
+		if p.at[name] == AtWork {
+			work = cmp.Or(work, name)
+		} else {
+			free = cmp.Or(free, name)
+		}
+	}
+	return cmp.Or(free, work)
+}
+
+// Stage is one step of a dry run.
+type Stage struct {
+	Machine  string
+	HandOver string  // who takes over first, of a primary
+	Leaves   float64 // what its group could do beyond its load meanwhile
+}
+
+// Dry plays the wish through as if all went well, one after the other, and returns the order. If it cannot be done, why names each
+// machine that is left and its constraint; those in the order are the nearest wish that can.
+func Dry(w Wish, look Look) (order []Stage, why error) {
+	now := Look{Machines: map[string]*Machine{}, Load: look.Load}
+	for name, m := range look.Machines {
+		c := *m
+		now.Machines[name] = &c
+	}
+	at := map[string]State{}
+	for range 2*len(w.Machines) + 1 {
+		d := Next(w, at, now)
+		switch {
+		case d.Complete:
+			return order, nil
+		case d.HandOver[0] != "":
+			from, to := now.Machines[d.HandOver[0]], now.Machines[d.HandOver[1]]
+			from.Primary, from.Fresh, to.Primary = false, true, true
+			order = append(order, Stage{from.Name, to.Name, (&planner{w, at, now}).spare(from)})
+			at[from.Name] = Done // it was the last of its group
+		case d.Take != "":
+			m := now.Machines[d.Take]
+			order = append(order, Stage{m.Name, "", (&planner{w, at, now}).spare(m)})
+			at[m.Name] = Done
+		default:
+			var lines []string
+			for _, name := range w.Machines {
+				if text := d.Waits[name]; text != "" {
+					lines = append(lines, name+": "+text)
+				}
+			}
+			return order, fmt.Errorf("%d of %d machines cannot be taken: %s", len(lines), len(w.Machines), strings.Join(lines, "; "))
+		}
+	}
+	return order, fmt.Errorf("the plan does not end") // a fault of this program
+}
