Let the record take changes on conditions, apply each once, and read what a majority holds

Seen: the store set single values, last one wins; a repeated call was applied again, reads were whatever a pooler had at hand without a word on its age, and a leader that ended left the others to find out. An order of work cannot be agreed on that.

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -46,6 +46,7 @@
 
 	StoreKeys   int // keys of the replicated store
 	StoreValue  int // bytes of one value
+	StoreWindow int // changes whose ids are remembered, so that a repeated one is applied once
 	Replay      int // requests of a pcap file that are open at once
 	ReplayFlows int // connections of a pcap file that are followed at once
 	Tap         int // chunks of clients' traffic that may wait to be written
@@ -146,6 +147,7 @@
 
 		StoreKeys:   1024,
 		StoreValue:  256 << 10,
+		StoreWindow: 4096,
 		Replay:      64,
 		ReplayFlows: 4096,
 		Tap:         1024,
--- a/internal/store/config.go
+++ b/internal/store/config.go
@@ -11,6 +11,7 @@
 type Config struct {
 	Enabled bool   `toml:"enabled"`
 	Listen  string `toml:"listen"`
+	Bind    string `toml:"bind"` // where it listens, if peers reach it elsewhere, at listen
 	API     string `toml:"api"`
 	Dir     string `toml:"dir"`
 	Peers   []Peer `toml:"peers"`
@@ -28,7 +29,7 @@
 	if !c.Enabled {
 		return nil
 	}
-	if err := errors.Join(tables.Address("listen", c.Listen), tables.Address("api", c.API)); err != nil {
+	if err := errors.Join(tables.Address("listen", c.Listen), tables.Address("bind", c.Bind), tables.Address("api", c.API)); err != nil {
 		return err
 	}
 	// Against a peer that forgets what it has voted for: with peers, memory alone would break the log's promise.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -13,6 +14,7 @@
 	"net"
 	"net/http"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"time"
 
@@ -57,7 +59,7 @@
 	}
 	r := &replicated{limits: l, log: log, apis: map[raft.ServerID]string{}, waiting: map[string][]byte{},
 		wake: make(chan struct{}, 1), done: make(chan struct{}),
-		state: state{values: map[string]json.RawMessage{}, most: l.StoreKeys}}
+		state: state{record: newRecord(recordBounds{keys: l.StoreKeys, value: l.StoreValue, window: l.StoreWindow})}}
 	rc := raft.DefaultConfig()
 	rc.LocalID = raft.ServerID(name)
 	rc.Logger = hclog.New(&hclog.LoggerOptions{Name: "raft", Level: hclog.Warn, Output: log})
@@ -81,11 +83,11 @@
 	var transport raft.Transport = memory
 	servers := []raft.Server{{ID: rc.LocalID, Address: address}}
 	if len(cfg.Peers) > 0 {
-		tcp, err := raft.NewTCPTransportWithLogger(cfg.Listen, nil, 2, l.StoreWait, rc.Logger)
+		stream, err := listen(cmp.Or(cfg.Bind, cfg.Listen), cfg.Listen)
 		if err != nil {
 			return nil, fmt.Errorf("store: listen: %w", err)
 		}
-		transport, servers = tcp, nil
+		transport, servers = raft.NewNetworkTransportWithLogger(stream, 2, l.StoreWait, rc.Logger), nil
 		for _, p := range cfg.Peers {
 			r.apis[raft.ServerID(p.Name)] = p.API
 			servers = append(servers, raft.Server{ID: raft.ServerID(p.Name), Address: raft.ServerAddress(p.Listen)})
@@ -134,6 +136,11 @@
 func (r *replicated) Close() {
 	close(r.done)
 	r.ended.Wait()
+	if r.raft.State() == raft.Leader && len(r.apis) > 1 { // Against a time without a leader at a planned stop.
+		if err := r.raft.LeadershipTransfer().Error(); err != nil {
+			r.log.Warn().Err(err).Msg("store: nobody takes the lead over")
+		}
+	}
 	if r.http != nil {
 		r.http.Close()
 	}
@@ -160,7 +167,7 @@
 		r.waiting = map[string][]byte{}
 		r.mu.Unlock()
 		for key, value := range batch {
-			if err := r.set(key, value, true); err != nil {
+			if err := r.set(key, value); err != nil {
 				r.log.Debug().Err(err).Str("key", key).Msg("store: not now")
 				r.mu.Lock()
 				if _, newer := r.waiting[key]; !newer {
@@ -172,20 +179,59 @@
 	}
 }
 
-// set changes a value: here if this pooler leads, or else, if it may, through the one that does.
-func (r *replicated) set(key string, value []byte, may bool) error {
+// set stores a value without condition.
+func (r *replicated) set(key string, value []byte) error {
+	o, err := r.change(Change{Key: key, Value: value}, true)
+	if err == nil && o.Error != "" {
+		err = errors.New(o.Error)
+	}
+	return err
+}
+
+// change applies a change: here if this pooler leads, or else, if it may, through the one that does. After an error it may have been
+// applied or not, or may be yet: the same again, under the same id, tells.
+func (r *replicated) change(c Change, may bool) (o Outcome, err error) {
+	text, err := json.Marshal(c)
+	if err != nil {
+		return o, err
+	}
 	if r.raft.State() == raft.Leader {
-		text, err := json.Marshal(change{key, value})
-		if err != nil {
-			return err
-		}
 		f := r.raft.Apply(text, r.limits.StoreWait)
 		if err := f.Error(); err != nil {
-			return err
+			return o, err
 		}
-		err, _ = f.Response().(error)
-		return err
+		o, _ = f.Response().(Outcome)
+		return o, nil
 	}
+	err = r.leader(may, "/v1/change", text, &o)
+	return o, err
+}
+
+// read returns values as of a moment between the call and its answer (linearizable). Unlike All it needs a majority.
+func (r *replicated) read(keys []string, may bool) (a readAnswer, err error) {
+	if r.raft.State() == raft.Leader {
+		// A majority has taken the barrier in behind all that was agreed on before the call, and this pooler has applied it.
+		if err := r.raft.Barrier(r.limits.StoreWait).Error(); err != nil {
+			return a, err
+		}
+		a.Revision, a.Values = r.state.read(keys)
+		return a, nil
+	}
+	text, err := json.Marshal(keys)
+	if err != nil {
+		return a, err
+	}
+	err = r.leader(may, "/v1/read", text, &a)
+	return a, err
+}
+
+type readAnswer struct {
+	Revision uint64           `json:"revision"`
+	Values   map[string]Value `json:"values"`
+}
+
+// leader asks the pooler that leads.
+func (r *replicated) leader(may bool, path string, body []byte, into any) error {
 	_, leader := r.raft.LeaderWithID()
 	api := r.apis[leader]
 	if api == "" || !may {
@@ -193,8 +239,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), r.limits.StoreWait)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+api+"/v1/store/"+key,
-		bytes.NewReader(value))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+api+path, bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
@@ -204,10 +249,10 @@
 		return err
 	}
 	defer answer.Body.Close()
-	if answer.StatusCode != http.StatusNoContent {
+	if answer.StatusCode != http.StatusOK {
 		return errors.New(answer.Status)
 	}
-	return nil
+	return json.NewDecoder(answer.Body).Decode(into)
 }
 
 // forwarded marks a change that has been passed on once. Against two poolers that take each other for the leader.
@@ -223,6 +268,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/store", func(w http.ResponseWriter, _ *http.Request) {
+		r.stamp(w)
 		json.NewEncoder(w).Encode(r.All())
 	})
 	mux.HandleFunc("GET /v1/store/{key...}", func(w http.ResponseWriter, q *http.Request) {
@@ -231,6 +277,7 @@
 			http.NotFound(w, q)
 			return
 		}
+		r.stamp(w)
 		w.Write(value)
 	})
 	mux.HandleFunc("PUT /v1/store/{key...}", func(w http.ResponseWriter, q *http.Request) {
@@ -239,68 +286,130 @@
 			http.Error(w, "the value is not JSON, or too long", http.StatusBadRequest)
 			return
 		}
-		if err := r.set(q.PathValue("key"), value, q.Header.Get(forwarded) == ""); err != nil {
+		if err := r.set(q.PathValue("key"), value); err != nil {
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
 			return
 		}
 		w.WriteHeader(http.StatusNoContent)
 	})
+	mux.HandleFunc("POST /v1/change", func(w http.ResponseWriter, q *http.Request) {
+		var c Change
+		if !r.body(w, q, &c) {
+			return
+		}
+		o, err := r.change(c, q.Header.Get(forwarded) == "")
+		reply(w, o, err)
+	})
+	mux.HandleFunc("POST /v1/read", func(w http.ResponseWriter, q *http.Request) {
+		var keys []string
+		if !r.body(w, q, &keys) {
+			return
+		}
+		a, err := r.read(keys, q.Header.Get(forwarded) == "")
+		reply(w, a, err)
+	})
 	r.http = &http.Server{Handler: mux, ReadHeaderTimeout: r.limits.StoreWait}
 	go r.http.Serve(l)
 	return nil
 }
 
-// change is an entry of the log.
-type change struct {
-	Key   string          `json:"key"`
-	Value json.RawMessage `json:"value"`
+// stamp says how old what this pooler has at hand may be: so long ago a leader was last heard. A leader that has been cut off takes
+// itself for one for half a second more.
+func (r *replicated) stamp(w http.ResponseWriter) {
+	revision, _ := r.state.read([]string{""})
+	w.Header().Set("Capercove-Revision", strconv.FormatUint(revision, 10))
+	if r.raft.State() == raft.Leader {
+		w.Header().Set("Capercove-Age-Ms", "0")
+	} else if at := r.raft.LastContact(); !at.IsZero() {
+		w.Header().Set("Capercove-Age-Ms", strconv.FormatInt(time.Since(at).Milliseconds(), 10))
+	}
+}
+
+// body reads a call's JSON; it answers what is none.
+func (r *replicated) body(w http.ResponseWriter, q *http.Request, into any) bool {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, q.Body, int64(4*r.limits.StoreValue)))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		http.Error(w, "not a call: "+err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+// reply answers a call. After 503 it is not known whether a change was applied.
+func reply(w http.ResponseWriter, answer any, err error) {
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(answer)
 }
 
-// state is what the log has led to. It implements raft.FSM.
+// state is the record as the log has led to it here. It implements raft.FSM.
 type state struct {
 	mu     sync.Mutex
-	values map[string]json.RawMessage
-	most   int
+	record *record
 }
 
+// all are the values alone.
 func (s *state) all() map[string]json.RawMessage {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return maps.Clone(s.values)
+	values := make(map[string]json.RawMessage, len(s.record.values))
+	for key, v := range s.record.values {
+		values[key] = v.Value
+	}
+	return values
+}
+
+// read returns the values under some keys, all of them where none is named, and the revision of the record.
+func (s *state) read(keys []string) (revision uint64, values map[string]Value) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(keys) == 0 {
+		return s.record.revision, maps.Clone(s.record.values)
+	}
+	values = map[string]Value{}
+	for _, key := range keys {
+		if v, has := s.record.values[key]; has {
+			values[key] = v
+		}
+	}
+	return s.record.revision, values
 }
 
 func (s *state) Apply(entry *raft.Log) any {
-	var c change
+	var c Change
 	if err := json.Unmarshal(entry.Data, &c); err != nil {
-		return err
+		return Outcome{Error: err.Error()}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, known := s.values[c.Key]; !known && len(s.values) >= s.most { // Against keys without end.
-		return errors.New("too many keys")
-	}
-	s.values[c.Key] = c.Value
-	return nil
+	return s.record.apply(c)
 }
 
-func (s *state) Snapshot() (raft.FSMSnapshot, error) { return snapshot(s.all()), nil }
+func (s *state) Snapshot() (raft.FSMSnapshot, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return snapshot(s.record.save()), nil
+}
 
 func (s *state) Restore(from io.ReadCloser) error {
 	defer from.Close()
-	values := map[string]json.RawMessage{}
-	if err := json.NewDecoder(from).Decode(&values); err != nil {
+	text, err := io.ReadAll(from)
+	if err != nil {
 		return err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.values = values
-	return nil
+	return s.record.restore(text)
 }
 
-type snapshot map[string]json.RawMessage
+type snapshot saved
 
 func (s snapshot) Persist(to raft.SnapshotSink) error {
-	if err := json.NewEncoder(to).Encode(s); err != nil {
+	if err := json.NewEncoder(to).Encode(saved(s)); err != nil {
 		return errors.Join(err, to.Cancel())
 	}
 	return to.Close()
