--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -90,8 +90,8 @@
 // heard is what the library tells beside its members. It has a lock of its own, as the library logs while it is being called.
 type heard struct {
 	mu        sync.Mutex
-	answered  map[string]time.Duration // the last answer of each to this pooler
-	suspected map[string]time.Duration // who has not answered since
+	answered  map[string]time.Duration // when this pooler last heard from each
+	suspected map[string]time.Duration // who has not been heard since it did not answer
 	refused   int64                    // what it could not read or turned away, such as from another cluster
 }
 
@@ -356,6 +356,9 @@
 	if g.talk.Author.Incarnation() != before {
 		g.count.Refuted++
 	}
+	if g.members[w.From] != nil {
+		g.heard.answer(w.From, now)
+	}
 	g.agreement.tell(now, w.From, w.Digest)
 	switch d := (fleet.Delta{}); w.Step {
 	case ask:
--- a/internal/fleet/gossip/library.go
+++ b/internal/fleet/gossip/library.go
@@ -24,6 +24,7 @@
 	e.g.mu.Lock()
 	now := e.g.clock()
 	delete(e.g.missing, n.Name)
+	e.g.heard.forget(n.Name) // against a suspicion of its former life that came late
 	delete(e.g.remembered, n.Name)
 	e.g.changed = true
 	e.g.members[n.Name] = &peer{node: memberlist.Node{Name: n.Name, Addr: slices.Clone(n.Addr), Port: n.Port}, since: now} // theirs changes
