--- a/internal/testbed/fleet.go
+++ b/internal/testbed/fleet.go
@@ -27,12 +27,11 @@
 	Names []string
 	Beds  map[string]*Bed
 
-	own, public map[string]string
-	seeds       []string // names
-	tables      string   // more of table [fleet]
-	options     []Option
-	paused      map[string]bool
-	down        map[string]bool
+	own, public  map[string]string
+	apis         map[string]string        // of stores
+	table        func(name string) string // of the operators' file
+	options      []Option
+	paused, down map[string]bool
 }
 
 var fleets atomic.Int32 // of this test process
@@ -40,10 +39,44 @@
 // FleetPatience is how long a fleet may take to settle on a busy machine.
 const FleetPatience = 120 * time.Second
 
-// NewFleet prepares n poolers; none is started. Seeds are the names of those that each is told of; more are lines of [fleet].
+// NewFleet prepares n poolers that talk; none is started. Seeds are the names of those that each is told of; more are lines of
+// [fleet].
 func NewFleet(t *testing.T, seed uint64, n int, seeds []string, more string, options ...Option) *Fleet {
-	f := &Fleet{T: t, Net: rig.New(seed), Beds: map[string]*Bed{}, own: map[string]string{}, public: map[string]string{}, seeds: seeds,
-		tables: more, options: options, paused: map[string]bool{}, down: map[string]bool{}}
+	f := newFleet(t, seed, n, options)
+	f.table = func(name string) string {
+		var others []string
+		for _, s := range seeds {
+			if s != name {
+				others = append(others, fmt.Sprintf("%q", f.public[s]))
+			}
+		}
+		return fmt.Sprintf("[fleet]\nenabled = true\ncluster = \"c\"\nlisten = %q\nadvertise = %q\nseeds = [%s]\n%s\n", f.own[name], f.public[name],
+			strings.Join(others, ", "), more)
+	}
+	return f
+}
+
+// NewStores prepares n poolers whose stores agree; none is started. Call reaches a store's API.
+func NewStores(t *testing.T, seed uint64, n int) *Fleet {
+	f := newFleet(t, seed, n, nil)
+	peers := ""
+	for _, name := range f.Names {
+		f.apis[name] = Free(t)
+		peers += fmt.Sprintf("[[store.peers]]\nname = %q\nlisten = %q\napi = %q\n", name, f.public[name], f.apis[name])
+	}
+	f.table = func(name string) string {
+		return fmt.Sprintf("[store]\nenabled = true\nlisten = %q\nbind = %q\napi = %q\ndir = %q\n%s", f.public[name], f.own[name], f.apis[name],
+			t.TempDir(), peers)
+	}
+	return f
+}
+
+// API is where a pooler's store is called.
+func (f *Fleet) API(name string) string { return f.apis[name] }
+
+func newFleet(t *testing.T, seed uint64, n int, options []Option) *Fleet {
+	f := &Fleet{T: t, Net: rig.New(seed), Beds: map[string]*Bed{}, own: map[string]string{}, public: map[string]string{},
+		apis: map[string]string{}, options: options, paused: map[string]bool{}, down: map[string]bool{}}
 	pid, number := os.Getpid(), byte(fleets.Add(1))
 	for i := range n {
 		name := fmt.Sprint("n", i)
@@ -61,15 +94,7 @@
 
 // Start starts a pooler that has not run yet.
 func (f *Fleet) Start(name string, more ...Option) *Bed {
-	var seeds []string
-	for _, s := range f.seeds {
-		if s != name {
-			seeds = append(seeds, fmt.Sprintf("%q", f.public[s]))
-		}
-	}
-	options := []Option{WithName(name), WithTables(fmt.Sprintf(
-		"[fleet]\nenabled = true\ncluster = \"c\"\nlisten = %q\nadvertise = %q\nseeds = [%s]\n%s\n", f.own[name], f.public[name], strings.Join(seeds, ", "),
-		f.tables))}
+	options := []Option{WithName(name), WithTables(f.table(name))}
 	for _, b := range f.Beds { // any will do
 		options = append(options, Beside(b))
 		break
