--- a/internal/works/plan.go
+++ b/internal/works/plan.go
@@ -8,7 +8,6 @@
 	"maps"
 	"slices"
 	"strings"
-	"time"
 )
 
 // Kind is what a machine is.
@@ -44,9 +43,8 @@
 	Machines []string // in the order in which they would have them, all else being equal
 	// Most are out at once, those that died by themselves among them; 0: one.
 	PerGroup, PerZone, InAll int
-	Margin                   float64       // share of what is left that must stay free, such as 0.2
-	Fresh                    int           // replicas that keep up and are left in each group, at the least
-	Takes                    time.Duration // expected for the work on one machine
+	Margin                   float64 // share of what is left that must stay free, such as 0.2
+	Fresh                    int     // replicas that keep up and are left in each group, at the least
 }
 
 // Check finds what is wrong with a wish. Machines are those that are known.
@@ -72,9 +70,6 @@
 	if !(w.Margin >= 0 && w.Margin < 1) {
 		return fmt.Errorf("margin: %v is no share under 1", w.Margin)
 	}
-	if w.Takes < 0 {
-		return fmt.Errorf("takes: %v is under 0", w.Takes)
-	}
 	return nil
 }
 
--- a/internal/works/plan_test.go
+++ b/internal/works/plan_test.go
@@ -188,7 +188,6 @@
 		"machines[0]": func(w *Wish) { w.Machines = []string{"odd"} },
 		"per_zone":    func(w *Wish) { w.PerZone = -1 },
 		"margin":      func(w *Wish) { w.Margin = 1 },
-		"takes":       func(w *Wish) { w.Takes = -1 },
 	} {
 		w := good
 		change(&w)
