--- a/internal/fleet/gossip/memory_test.go
+++ b/internal/fleet/gossip/memory_test.go
@@ -2,12 +2,19 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"net"
 	"os"
 	"path/filepath"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-msgpack/v2/codec"
+	"github.com/hashicorp/memberlist"
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
+
+	"capercove/internal/fleet"
 )
 
 const epoch = 1_800_000_000 * time.Second
@@ -62,6 +69,33 @@
 	require.Len(t, got, rememberedMost)
 }
 
+// A suspicion ends when the pooler speaks, and one of a former life that comes late ends when it joins again: nobody has to wait
+// until it is that pooler's turn to be asked.
+func TestSuspicionEnds(t *testing.T) {
+	now, b := epoch, fleet.DefaultBounds()
+	talk := fleet.NewTalk(fleet.NewView(b), fleet.NewAuthor("a", 1, b), fleet.DefaultTalk(), rand.New(rand.NewPCG(1, 1)))
+	g := &Gossip{name: "a", pace: DefaultPace(), log: zerolog.Nop(), clock: func() time.Duration { return now }, talk: talk, members: map[string]*peer{},
+		missing: map[string]*peer{}, remembered: map[string]address{}, logged: map[string]time.Duration{}, agreement: newAgreement(time.Second, now),
+		heard: heard{answered: map[string]time.Duration{}, suspected: map[string]time.Duration{}}}
+	other := &memberlist.Node{Name: "b", Addr: net.IPv4(127, 0, 0, 1), Port: 1}
+	suspect := func() {
+		library{g}.Write([]byte("[INFO] memberlist: Suspect b has failed, no acks received"))
+		require.Contains(t, g.heard.suspected, "b")
+	}
+	events{g}.NotifyJoin(other)
+	suspect()
+	var text []byte
+	require.NoError(t, codec.NewEncoderBytes(&text, &handle).Encode(wire{Version: version, From: "b"}))
+	g.hear(text)
+	require.Empty(t, g.heard.suspected, "it has spoken")
+	suspect()
+	events{g}.NotifyLeave(other)
+	require.Empty(t, g.heard.suspected)
+	suspect() // late
+	events{g}.NotifyJoin(other)
+	require.Empty(t, g.heard.suspected, "a new life")
+}
+
 // Views agree where another's digest has been this pooler's a moment ago, or becomes it soon; they do not once one has differed
 // for long; nothing heard is neither.
 func TestAgreement(t *testing.T) {
--- a/internal/fleet/word.go
+++ b/internal/fleet/word.go
@@ -38,14 +38,13 @@
 
 // Sight is what this pooler sees of one database now. Times are since the Unix epoch.
 type Sight struct {
-	Database  string
-	State     State
-	Cold      bool
-	Primary   bool          // by evidence, not by the list
-	Position  time.Duration // the last proven one
-	Heard     time.Duration // the last answer of any kind; 0: none
-	MayAsk    bool          // a probe may be sent there
-	Connected int           // connections to it
+	Database string
+	State    State
+	Cold     bool
+	Primary  bool          // by evidence, not by the list
+	Position time.Duration // the last proven one
+	Heard    time.Duration // the last answer of any kind; 0: none
+	MayAsk   bool          // a probe may be sent there
 }
 
 // Word is what a pooler says of one database. It changes only when the state does, so that views come to rest.
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -87,7 +87,7 @@
 	}
 	zones := w.Zones()
 	for i := range w.Poolers {
-		p := &Pooler{fleet: f, name: fmt.Sprintf("pooler-%d", i), zone: zones[i%len(zones)], up: true,
+		p := &Pooler{fleet: f, name: world.PoolerName(i), zone: zones[i%len(zones)], up: true,
 			asked: map[*load.Request]*answer{}, told: map[string]emulator.State{}}
 		l := limits.For(limits.Machine{MemoryMB: 192, Sockets: 1024}, facts.Connect, facts.Keepalive, 3*time.Second)
 		p.Core = core.New(core.Settings{Settings: settings, Names: facts.Classes}, w.Seed*7919+uint64(i), l, zerolog.Nop(), loop.Now,
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -75,7 +75,7 @@
 
 func (f *Fleet) addPooler(i int, host string) error {
 	zones := f.World.Zones()
-	p := &pooler{fleet: f, name: fmt.Sprintf("pooler-%d", i), zone: zones[i%len(zones)], watches: map[chan discovery.List]struct{}{}}
+	p := &pooler{fleet: f, name: world.PoolerName(i), zone: zones[i%len(zones)], watches: map[chan discovery.List]struct{}{}}
 	f.poolers = append(f.poolers, p)
 	for _, m := range f.Members {
 		s := &server{pooler: p, member: m, conns: map[net.Conn]*conn{}}
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -330,7 +330,7 @@
 
 func (w *World) pooler(target string) bool {
 	for i := range w.Poolers {
-		if target == fmt.Sprintf("pooler-%d", i) {
+		if target == PoolerName(i) {
 			return true
 		}
 	}
