Put a checksum before what poolers tell each other

A fact whose owner's name or incarnation has one bit turned over is a good fact of a pooler that there is not, and lives for 10 minutes. Inferred from the log and the code: the garbled fact itself was not caught.

Change: CRC-32C before each message (gossip.go, seal and hear); what fails it is counted as Garbled. Test: a message with each of its bits turned over in turn is turned down.

--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -4,7 +4,9 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"fmt"
+	"hash/crc32"
 	"io"
 	stdlog "log"
 	"maps"
@@ -326,18 +328,29 @@
 		g.log.Error().Err(err).Msg("fleet: a message cannot be written")
 		return
 	}
-	list, node := g.list, to.node
+	list, node, text := g.list, to.node, seal(b.Bytes())
 	if w.Step > 0 {
 		if !g.stopping {
-			g.ended.Go(func() { list.SendReliable(&node, b.Bytes()) }) // a dial may take as long as its time-out
+			g.ended.Go(func() { list.SendReliable(&node, text) }) // a dial may take as long as its time-out
 		}
 		return
 	}
-	list.SendBestEffort(&node, b.Bytes())
+	list.SendBestEffort(&node, text)
+}
+
+// seal puts a checksum before a message: the library's streams have none, and a name with one bit turned over would live on as a
+// pooler that is not there.
+func seal(text []byte) []byte {
+	return append(binary.BigEndian.AppendUint32(nil, crc32.Checksum(text, castagnoli)), text...)
 }
 
 // hear takes in a message.
 func (g *Gossip) hear(data []byte) {
+	if len(data) < 4 || crc32.Checksum(data[4:], castagnoli) != binary.BigEndian.Uint32(data) {
+		g.turnDown(&g.count.Garbled, "a message that was made otherwise on its way")
+		return
+	}
+	data = data[4:]
 	var w wire
 	err := codec.NewDecoder(io.LimitReader(bytes.NewReader(data), messageMost), &handle).Decode(&w)
 	if err != nil || w.From == "" {
--- a/internal/fleet/gossip/memory_test.go
+++ b/internal/fleet/gossip/memory_test.go
@@ -86,7 +86,14 @@
 	suspect()
 	var text []byte
 	require.NoError(t, codec.NewEncoderBytes(&text, &handle).Encode(wire{Version: version, From: "b"}))
-	g.hear(text)
+	for i := range 8 * len(text) { // one bit turned over anywhere
+		bad := seal(text)
+		bad[4+i/8] ^= 1 << (i % 8)
+		g.hear(bad)
+	}
+	require.Equal(t, int64(8*len(text)), g.count.Garbled)
+	require.Contains(t, g.heard.suspected, "b")
+	g.hear(seal(text))
 	require.Empty(t, g.heard.suspected, "it has spoken")
 	suspect()
 	events{g}.NotifyLeave(other)
--- a/internal/fleet/gossip/process_test.go
+++ b/internal/fleet/gossip/process_test.go
@@ -1,8 +1,10 @@
 package gossip_test
 
 import (
+	"encoding/binary"
 	"encoding/json"
 	"fmt"
+	"hash/crc32"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -296,7 +298,8 @@
 	} {
 		var text []byte
 		require.NoError(t, codec.NewEncoderBytes(&text, &codec.MsgpackHandle{}).Encode(m))
-		texts = append(texts, text)
+		sum := crc32.Checksum(text, crc32.MakeTable(crc32.Castagnoli))
+		texts = append(texts, append(binary.BigEndian.AppendUint32(nil, sum), text...))
 	}
 	texts = append(texts, []byte("noise"), nil)
 	for _, n := range rogue.Members() {
