--- a/cmd/capercove/command.go
+++ b/cmd/capercove/command.go
@@ -12,6 +12,7 @@
 	"capercove/internal/config"
 	"capercove/internal/config/tables"
 	"capercove/internal/fleet/gossip"
+	"capercove/internal/works/driver"
 )
 
 // command runs a sub-command, if there is one: with no argument the program serves. It returns the exit status.
@@ -34,6 +35,10 @@
 		}
 		fmt.Fprintln(out, "good")
 		return 0, true
+	case args[0] == "works":
+		if status, ok := driver.Command(args[1:], out); ok {
+			return status, true
+		}
 	case args[0] == "fleet":
 		if status, ok := showFleet(args[1:], out); ok {
 			return status, true
@@ -43,6 +48,9 @@
 		"       capercove check [FILE]    check the operators' file, and the platform's if GW_CONFIG is set\n"+
 		"       capercove fleet [--all] [--json] ADDR\n"+
 		"                                 the fleet as the pooler managed at ADDR sees it; with --all, whether all see the same\n"+
+		"       capercove works plan|start FILE ADDR | status [--json] [--watch] ADDR | history ADDR | pause|resume|abort ADDR |\n"+
+		"                       skip|begin|end MACHINE ADDR | forget POOLER ADDR\n"+
+		"                                 take machines out for work, by the pooler managed at ADDR\n"+
 		"       capercove version")
 	return 2, true
 }
@@ -101,8 +109,7 @@
 
 // check reads the files as a start does, and begins nothing.
 func check() error {
-	own := defaults()
-	if err := tables.Load(&own); err != nil {
+	if _, err := load(); err != nil {
 		return err
 	}
 	if os.Getenv("GW_CONFIG") == "" {
--- a/cmd/capercove/main.go
+++ b/cmd/capercove/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"hash/fnv"
 	gonet "net"
@@ -38,6 +39,7 @@
 	"capercove/internal/statement"
 	"capercove/internal/store"
 	"capercove/internal/tenant"
+	"capercove/internal/works/driver"
 )
 
 func main() {
@@ -59,11 +61,43 @@
 	Door       door.Config      `toml:"door"`
 	Statements statement.Config `toml:"statements"`
 	Fleet      gossip.Config    `toml:"fleet"`
+	Works      driver.Config    `toml:"works"`
 }
 
 // defaults is what an empty file means: all off.
 func defaults() file {
-	return file{Pcap: pcap.Defaults(), Door: door.Defaults(), Statements: statement.Defaults()}
+	return file{Pcap: pcap.Defaults(), Door: door.Defaults(), Statements: statement.Defaults(), Works: driver.Defaults()}
+}
+
+// load reads the operators' file over the defaults.
+func load() (own file, err error) {
+	own = defaults()
+	if err := tables.Load(&own); err != nil {
+		return own, err
+	}
+	switch w := own.Works; {
+	case w.Enabled && !own.Fleet.Enabled:
+		return own, errors.New("works.enabled: poolers have to know each other, and [fleet] is off")
+	case w.Enabled && len(own.records()) == 0:
+		return own, errors.New("works.record: empty, and [store] is off or has no api")
+	}
+	return own, nil
+}
+
+// records are the addresses at which the record of works is called, the own first.
+func (f file) records() (apis []string) {
+	if len(f.Works.Record) > 0 {
+		return f.Works.Record
+	}
+	if f.Store.Enabled && f.Store.API != "" {
+		apis = append(apis, f.Store.API)
+		for _, p := range f.Store.Peers {
+			if p.API != f.Store.API {
+				apis = append(apis, p.API)
+			}
+		}
+	}
+	return apis
 }
 
 // program is the wired parts.
@@ -84,6 +118,7 @@
 	store  store.Store
 	fleet  *gossip.Gossip
 	peers  *peers.Peers
+	works  *driver.Driver
 	tap    *pcap.Writer
 	stops  chan struct{} // closed on SIGTERM
 	beside *share.Beside // the loop's to begin with, then the goroutine's that settles; nil where it stands alone
@@ -96,8 +131,8 @@
 	if err != nil {
 		return err
 	}
-	own := defaults()
-	if err := tables.Load(&own); err != nil {
+	own, err := load()
+	if err != nil {
 		return err
 	}
 	var beside *share.Beside
@@ -200,6 +235,10 @@
 		if own.Statements.On() {
 			in.Statements(own.Statements, l.Shapes, cfg.Seed, l.LogEvery, log)
 		}
+		if own.Works.Enabled { // nothing is sent before it is known what is out
+			p.core.KeepOff(own.Works.Off(p.core.Now()))
+			p.works = p.work()
+		}
 		p.core.Known(cfg.Known.Entries(cfg.Facts.Zones))
 		p.bans.Look()
 		p.driver.Do(p.core.Start) // behind the bans: they hold before anything is sent
@@ -212,6 +251,9 @@
 		return fmt.Errorf("event loop: %w", err)
 	}
 	p.counters("stopped")
+	if p.works != nil {
+		p.works.Stop()
+	}
 	if p.fleet != nil {
 		p.fleet.Stop(l.FleetLeave)
 	}
@@ -237,6 +279,24 @@
 	return err
 }
 
+// work lets the pooler take part in taking machines out.
+func (p *program) work() *driver.Driver {
+	cfg := p.config
+	fresh := time.Second // where no class says how old its data may be
+	for _, class := range cfg.Settings.Classes {
+		if class.MaxAge > 0 {
+			fresh = min(fresh, class.MaxAge)
+		}
+	}
+	var from gonet.IP
+	if host, _, err := gonet.SplitHostPort(p.own.Fleet.Listen); err == nil {
+		from = gonet.ParseIP(host)
+	}
+	return driver.Start(p.own.Works, driver.Pooler{Name: cfg.Name, Core: p.core, Do: p.driver.Do, Store: p.store,
+		Client: store.NewClient(p.own.records(), p.limits.StoreWait, from), Fleet: p.fleet.State, Incarnation: p.fleet.Incarnation,
+		Zones: cfg.Facts.Zones, Fresh: fresh, Clock: p.core.Now, Log: p.log})
+}
+
 // digest tells settings apart.
 func digest(c config.Config) string {
 	h := fnv.New64a()
@@ -272,6 +332,15 @@
 	return s
 }
 
+func (o operator) Works(bears float64) any {
+	found := make(chan *driver.Driver, 1)
+	o.p.driver.Do(func() { found <- o.p.works })
+	if d := <-found; d != nil {
+		return d.Show(bears)
+	}
+	return nil
+}
+
 func (o operator) Statements() *management.Statements {
 	found := make(chan *management.Statements, 1)
 	o.p.driver.Do(func() {
@@ -385,9 +454,9 @@
 // nothing. Discovery's address and the settings are followed; what else has changed counts from the next start on.
 func (p *program) reload() {
 	c, err := p.config.Reload()
-	own := defaults()
+	var own file
 	if err == nil {
-		err = tables.Load(&own)
+		own, err = load()
 	}
 	var rules *tenant.Rules
 	if err == nil {
@@ -402,8 +471,8 @@
 		"limits": c.Machine != p.config.Machine, "management": c.Management != p.config.Management,
 		"settings.zones": !slices.Equal(c.Facts.Zones, p.config.Facts.Zones),
 		"flight":         !reflect.DeepEqual(own.Flight, p.own.Flight), "store": !reflect.DeepEqual(own.Store, p.own.Store),
-		"fleet": !reflect.DeepEqual(own.Fleet, p.own.Fleet),
-		"pcap":  own.Pcap != p.own.Pcap, "door.enabled": own.Door.Enabled != p.own.Door.Enabled} {
+		"fleet": !reflect.DeepEqual(own.Fleet, p.own.Fleet), "works": !reflect.DeepEqual(own.Works, p.own.Works),
+		"pcap": own.Pcap != p.own.Pcap, "door.enabled": own.Door.Enabled != p.own.Door.Enabled} {
 		if changed {
 			p.log.Warn().Str("key", key).Msg("reload: changed, but counts only from the next start on")
 		}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -130,6 +130,8 @@
 	Broken, NotSent, Turned             int64
 	Probes, ProbesFailed                int64
 	Asked                               int64 // of the probes: on other poolers' word
+	KeptOff                             int64 // attempts not sent, as their database could be at work
+	Blind                               int64 // ... sent all the same, as nothing else of the group is left
 	Routers                             int   // that this one reckons with, itself among them
 	Lists, ListsFailed, Batches, Events int64
 	Size                                float64 // of the databases, as the router takes them; 1 where none tells
@@ -159,8 +161,13 @@
 	watchers []Watcher
 	settings *Settings
 	figures  atomic.Pointer[Figures]
-	bans     map[choice.NodeID]time.Duration
-	ready    func() // called once; nil from then on
+	bans     map[choice.NodeID]time.Duration // by the operators, and those that are kept off
+	banned   map[choice.NodeID]time.Duration // of them, by the operators
+	off      Off
+	offSince map[choice.NodeID]time.Duration // of what is kept off: from when it would have been banned
+	lapse    *wheel.Timer                    // of what is known of it
+	asks     map[int]int64                   // requests by group, where the figures tell what the router sees
+	ready    func()                          // called once; nil from then on
 	readyBy  time.Duration
 	routes   bool                  // the router knows each class as a write and as a read too
 	out      map[choice.NodeID]int // attempts that are out, of requests that teach
@@ -190,7 +197,7 @@
 func New(s Settings, seed uint64, l limits.Limits, log zerolog.Logger, clock func() time.Duration, wake, ready func()) *Core {
 	return &Core{Wheel: wheel.New(l.Tick, l.Slots, clock()), limits: l, log: log, clock: clock, wake: wake,
 		router: choice.New(s.Settings, seed), settings: &s, ready: ready, members: map[choice.NodeID]*Member{},
-		out:      map[choice.NodeID]int{},
+		out: map[choice.NodeID]int{}, offSince: map[choice.NodeID]time.Duration{},
 		requests: map[choice.RequestID]*Request{}, names: map[string]struct{}{},
 		Count: Counters{Fronts: map[string]map[string]*Answers{}, Routers: s.Routers}}
 }
@@ -266,6 +273,9 @@
 func (c *Core) Submit(q *Request) {
 	q.count = c.answers(q.Front, c.settings.Names[q.Class])
 	q.count.Taken++
+	if c.observed {
+		c.asks[q.Group]++
+	}
 	if len(c.requests) >= c.limits.Requests { // Against tables without bound.
 		q.done = true
 		q.count.Refused++
@@ -503,6 +513,9 @@
 		kind = choice.ListFull
 	}
 	c.push(choice.Event{Kind: kind, Nodes: nodes})
+	if c.off.All { // what the list has brought, too
+		c.keepOff()
+	}
 }
 
 func (c *Core) change(e Member) {
@@ -620,11 +633,14 @@
 	q.attempts = append(q.attempts, try)
 	q.out++
 	c.held.Leave(q.id)
-	if q.done || q.began != nil {
+	if q.done || q.began != nil || !c.May(try.Member) {
 		c.Done(try, choice.NotSent, choice.Evidence{}, nil)
 		return
 	}
 	c.Count.Attempts++
+	if c.off.Blind[a.Node] && c.lapsed() {
+		c.Count.Blind++
+	}
 	// Against peers that are cut off and never close.
 	try.timer = c.Wheel.At(try.Until, func() { c.cancel(try, choice.TimedOut) })
 	if q.Learner != nil {
--- a/internal/core/operators.go
+++ b/internal/core/operators.go
@@ -16,7 +16,9 @@
 	Members, Unavailable  int
 	Reloads, ReloadErrors int64
 	Door                  *DoorFigures // nil: there is none
-	Sights                []Sight      // nil: not observed
+	Sights                []Sight      // nil: not observed, as with the next
+	Asks                  map[int]int64
+	Blind                 int64 // attempts sent to databases that could be at work, as nothing else was left
 }
 
 // Figures returns the figures as they were a moment ago, to any goroutine.
@@ -39,7 +41,7 @@
 			f.Classes[name] = f.Classes[name].plus(*a)
 		}
 	}
-	f.Door, f.Sights = c.Door(), c.sights()
+	f.Door, f.Sights, f.Asks, f.Blind = c.Door(), c.sights(), maps.Clone(c.asks), c.Count.Blind
 	now := c.clock()
 	if c.ready != nil && (now >= c.readyBy || c.listed && f.Members > 0 && c.router.Leads()) {
 		c.ready()
@@ -87,18 +89,6 @@
 // Ban takes in which databases the operators keep out, each since when. It holds when this returns: what was decided
 // before and is not on its way yet is taken back by the backends.
 func (c *Core) Ban(bans map[choice.NodeID]time.Duration) {
-	if maps.Equal(c.bans, bans) {
-		return
-	}
-	c.bans = bans
-	c.push(choice.Event{Kind: choice.BansChanged, Bans: bans})
-	c.Flush()
-	for _, m := range c.members {
-		if _, banned := bans[m.ID]; banned != m.Banned {
-			m.Banned = banned
-			for _, w := range c.watchers {
-				w.Changed(m)
-			}
-		}
-	}
+	c.banned = bans
+	c.keepOut()
 }
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -7,12 +7,13 @@
 // Sight is what the router holds of a database by its own evidence.
 type Sight struct {
 	choice.Seen
-	Name   string
-	MayAsk bool // a probe may be sent there
+	Name        string
+	Group, Zone int
+	MayAsk      bool // a probe may be sent there
 }
 
 // Observe lets the figures tell what the router sees.
-func (c *Core) Observe() { c.observed = true }
+func (c *Core) Observe() { c.observed, c.asks = true, map[int]int64{} }
 
 // sights are what the router sees now; nil where nobody looks.
 func (c *Core) sights() []Sight {
@@ -23,7 +24,7 @@
 	sights := make([]Sight, 0, len(seen))
 	for _, s := range seen {
 		if m := c.members[s.ID]; m != nil {
-			sights = append(sights, Sight{Seen: s, Name: m.Name, MayAsk: c.mayAsk(m)})
+			sights = append(sights, Sight{Seen: s, Name: m.Name, Group: m.Group, Zone: m.Zone, MayAsk: c.mayAsk(m)})
 		}
 	}
 	return sights
--- a/internal/fleet/gossip/state.go
+++ b/internal/fleet/gossip/state.go
@@ -125,3 +125,10 @@
 	}
 	return "smaller"
 }
+
+// Incarnation is this pooler's own. It grows when the pooler has been taken for gone.
+func (g *Gossip) Incarnation() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.talk.Author.Incarnation()
+}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -83,6 +83,7 @@
 	FleetLeave     time.Duration // the other poolers are told of the end by then
 	StoreEvery     time.Duration // the state is stored this often
 	StoreWait      time.Duration // for one change of the store
+	StoreWatch     time.Duration // a watch of the store waits no longer
 	LogEvery       time.Duration // at most one line a kind of bad input in this time
 }
 
@@ -184,6 +185,7 @@
 		FleetLeave:     300 * time.Millisecond,
 		StoreEvery:     2 * time.Second,
 		StoreWait:      2 * time.Second,
+		StoreWatch:     30 * time.Second,
 		LogEvery:       time.Second,
 	}
 }
--- a/internal/management/management.go
+++ b/internal/management/management.go
@@ -3,12 +3,14 @@
 package management
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"maps"
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -28,6 +30,9 @@
 	Statements() *Statements
 	// Fleet is what is known of the other poolers, nil if nothing is.
 	Fleet() any
+	// Works are the machines that are out, or may be, as this pooler sees them; each database is taken to bear so many requests a
+	// second. Nil if it takes no part.
+	Works(bears float64) any
 	// Ban keeps a database out, or lets it back in. It returns when that holds; known is false if nobody has the name.
 	Ban(name string, banned bool) (known bool, err error)
 }
@@ -54,6 +59,7 @@
 	mux.HandleFunc("GET /api/telemetry", s.telemetry)
 	mux.HandleFunc("GET /api/statements", s.statements)
 	mux.HandleFunc("GET /fleet", s.fleet)
+	mux.HandleFunc("GET /works", s.works)
 	mux.HandleFunc("PUT /api/exclude/{id}", s.ban(true))
 	mux.HandleFunc("PUT /api/include/{id}", s.ban(false))
 	s.http = &http.Server{Handler: mux, ReadTimeout: l.OperatorHead, WriteTimeout: l.OperatorHead + l.OperatorCall,
@@ -96,9 +102,22 @@
 }
 
 func (s *Server) fleet(w http.ResponseWriter, _ *http.Request) {
-	v := s.pooler.Fleet()
+	shown(w, s.pooler.Fleet(), "poolers do not talk: [fleet] is off")
+}
+
+func (s *Server) works(w http.ResponseWriter, r *http.Request) {
+	bears, err := strconv.ParseFloat(cmp.Or(r.FormValue("bears"), "0"), 64)
+	if err != nil || !(bears >= 0) {
+		http.Error(w, "bears is a number of requests a second", http.StatusBadRequest)
+		return
+	}
+	shown(w, s.pooler.Works(bears), "no machines are taken out: [works] is off")
+}
+
+// shown answers what there is to be seen.
+func shown(w http.ResponseWriter, v any, off string) {
 	if v == nil {
-		http.Error(w, "poolers do not talk: [fleet] is off", http.StatusNotFound)
+		http.Error(w, off, http.StatusNotFound)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/net/pool.go
+++ b/internal/net/pool.go
@@ -394,7 +394,7 @@
 	p := l.pool
 	now := p.core.Now()
 	a := j.attempt
-	if a != nil && a.By > 0 && now > a.By { // Against a read sent on a proof that has run out meanwhile.
+	if a != nil && (a.By > 0 && now > a.By || !p.core.May(a.Member)) { // Against a read sent on a proof that has run out meanwhile.
 		p.Count.TooLate++
 		l.free()
 		p.finish(j, choice.NotSent, nil)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -26,16 +26,17 @@
 
 // Self is what a pooler says of itself.
 type Self struct {
-	Version     string `json:"version,omitempty"`
-	Zone        string `json:"zone,omitempty"`
-	Since       int64  `json:"since_ms"` // Unix
-	Listen      string `json:"listen"`
-	Management  string `json:"management,omitempty"`
-	Settings    string `json:"settings"`           // a digest: equal where the settings are
-	Load        int    `json:"load"`               // requests a second, roughly
-	Connections int    `json:"connections"`        // clients' and databases', roughly
-	Counted     int    `json:"counted,omitempty"`  // poolers that it reckons with
-	Stopping    bool   `json:"stopping,omitempty"` // it has been told to end
+	Version     string      `json:"version,omitempty"`
+	Zone        string      `json:"zone,omitempty"`
+	Since       int64       `json:"since_ms"` // Unix
+	Listen      string      `json:"listen"`
+	Management  string      `json:"management,omitempty"`
+	Settings    string      `json:"settings"`           // a digest: equal where the settings are
+	Load        int         `json:"load"`               // requests a second, roughly
+	Connections int         `json:"connections"`        // clients' and databases', roughly
+	Groups      map[int]int `json:"groups,omitempty"`   // of the load, by group of databases
+	Counted     int         `json:"counted,omitempty"`  // poolers that it reckons with
+	Stopping    bool        `json:"stopping,omitempty"` // it has been told to end
 }
 
 // Pooler is what is told and asked here. All but Figures is called on the event loop only.
@@ -64,7 +65,8 @@
 	routers int // of new settings; 0: none have come
 
 	// The fleet's goroutine's.
-	taken   int64 // requests, when the load was last told
+	taken   int64         // requests, when the load was last told
+	asks    map[int]int64 // ... by group
 	told    time.Duration
 	renewed time.Duration
 
@@ -135,7 +137,10 @@
 		if open := int(p.open.Load()); differs(float64(open), float64(p.self.Connections)) {
 			p.self.Connections = open
 		}
-		p.told, p.taken = now, taken
+		if p.told > 0 {
+			p.self.Groups = groups(p.self.Groups, f.Asks, p.asks, (now - p.told).Seconds())
+		}
+		p.told, p.taken, p.asks = now, taken, f.Asks
 	}
 	text, err := json.Marshal(p.self)
 	if err != nil {
@@ -146,6 +151,20 @@
 	return values
 }
 
+// groups are the loads of groups of databases: said anew where one differs from what was said.
+func groups(said map[int]int, asks, before map[int]int64, seconds float64) map[int]int {
+	rates, anew := map[int]int{}, false
+	for group, n := range asks {
+		rate := float64(n-before[group]) / seconds
+		rates[group] = int(math.Round(rate))
+		anew = anew || differs(rate, float64(said[group]))
+	}
+	if !anew {
+		return said
+	}
+	return rates
+}
+
 // differs tells whether a number is so far from the one that was said that it is to be said anew. Against facts that never rest.
 func differs(x, said float64) bool { return max(x, said)+1 > apart*(min(x, said)+1) }
 
--- a/internal/store/config.go
+++ b/internal/store/config.go
@@ -13,6 +13,7 @@
 	Listen  string `toml:"listen"`
 	Bind    string `toml:"bind"` // where it listens, if peers reach it elsewhere, at listen
 	API     string `toml:"api"`
+	APIBind string `toml:"api_bind"` // where it listens for calls, if it is reached elsewhere, at api
 	Dir     string `toml:"dir"`
 	Peers   []Peer `toml:"peers"`
 }
@@ -29,7 +30,7 @@
 	if !c.Enabled {
 		return nil
 	}
-	if err := errors.Join(tables.Address("listen", c.Listen), tables.Address("bind", c.Bind), tables.Address("api", c.API)); err != nil {
+	if err := errors.Join(tables.Address("listen", c.Listen), tables.Address("bind", c.Bind), tables.Address("api", c.API), tables.Address("api_bind", c.APIBind)); err != nil {
 		return err
 	}
 	// Against a peer that forgets what it has voted for: with peers, memory alone would break the log's promise.
--- a/internal/store/record.go
+++ b/internal/store/record.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 )
 
 // Change is one request to the record: it is applied whole if all its conditions hold, or not at all.
@@ -47,12 +48,69 @@
 	values   map[string]Value
 	answered map[string]Outcome // by request, of the last ones
 	order    []string           // of those, the oldest first
+	deleted  []deletion         // the last ones, the oldest first
+	floor    uint64             // what was deleted up to this revision is not remembered
+}
+
+// deletion is of a key that is there no more.
+type deletion struct {
+	Key      string `json:"key"`
+	Revision uint64 `json:"revision"`
+}
+
+// Changes are what has become of some keys since a revision.
+type Changes struct {
+	Revision uint64           `json:"revision"` // of the record: the next watch goes on from here
+	Values   map[string]Value `json:"values"`   // set since
+	Deleted  []string         `json:"deleted,omitempty"`
+	Whole    bool             `json:"whole,omitempty"` // what was deleted since is not remembered any more: Values are all there are
 }
 
 func newRecord(b recordBounds) *record {
 	return &record{bounds: b, values: map[string]Value{}, answered: map[string]Outcome{}}
 }
 
+// Named tells whether a key is the name, or under it where the name ends in "/".
+func named(key, name string) bool {
+	return key == name || strings.HasSuffix(name, "/") && strings.HasPrefix(key, name)
+}
+
+// since returns what has become of the keys of a name since a revision.
+func (r *record) since(after uint64, name string) Changes {
+	c := Changes{Revision: r.revision, Values: map[string]Value{}, Whole: after < r.floor || after > r.revision} // the latter: of another record
+	for key, v := range r.values {
+		if named(key, name) && (c.Whole || v.Revision > after) {
+			c.Values[key] = v
+		}
+	}
+	for _, d := range r.deleted {
+		if _, again := r.values[d.Key]; !again && !c.Whole && d.Revision > after && named(d.Key, name) && !slices.Contains(c.Deleted, d.Key) {
+			c.Deleted = append(c.Deleted, d.Key)
+		}
+	}
+	return c
+}
+
+// read returns the values of some names, of all keys where none is named.
+func (r *record) read(names []string) map[string]Value {
+	if len(names) == 0 {
+		return maps.Clone(r.values)
+	}
+	values := map[string]Value{}
+	for _, name := range names {
+		if v, has := r.values[name]; has {
+			values[name] = v
+		} else if strings.HasSuffix(name, "/") {
+			for key, v := range r.values {
+				if named(key, name) {
+					values[key] = v
+				}
+			}
+		}
+	}
+	return values
+}
+
 // apply takes in a change. One whose id has been answered within the window is not applied again, whatever it says.
 func (r *record) apply(c Change) (o Outcome) {
 	if c.ID != "" {
@@ -89,7 +147,14 @@
 		r.values[key] = Value{r.revision, value}
 	}
 	for _, key := range c.Delete {
-		delete(r.values, key)
+		if _, has := r.values[key]; has {
+			delete(r.values, key)
+			r.deleted = append(r.deleted, deletion{key, r.revision})
+		}
+	}
+	if over := len(r.deleted) - r.bounds.window; over > 0 {
+		r.floor = r.deleted[over-1].Revision
+		r.deleted = slices.Delete(r.deleted, 0, over)
 	}
 	return Outcome{Revision: r.revision, Applied: true}
 }
@@ -101,6 +166,8 @@
 		switch {
 		case key == "":
 			return "a key is empty"
+		case strings.HasSuffix(key, "/"): // as that names all keys under it
+			return key + ": a key ends in /"
 		case len(value) > r.bounds.value:
 			return fmt.Sprintf("%s: %d bytes, %d at most", key, len(value), r.bounds.value)
 		case slices.Contains(c.Delete, key):
@@ -127,10 +194,13 @@
 	Values   map[string]Value   `json:"values"`
 	Answered map[string]Outcome `json:"answered"`
 	Order    []string           `json:"order"`
+	Deleted  []deletion         `json:"deleted"`
+	Floor    *uint64            `json:"floor"` // nil in one of before
 }
 
 func (r *record) save() saved {
-	return saved{r.revision, maps.Clone(r.values), maps.Clone(r.answered), slices.Clone(r.order)}
+	floor := r.floor
+	return saved{r.revision, maps.Clone(r.values), maps.Clone(r.answered), slices.Clone(r.order), slices.Clone(r.deleted), &floor}
 }
 
 // restore takes in a snapshot; one of before held values alone, by key.
@@ -152,6 +222,9 @@
 	if s.Answered == nil {
 		s.Answered = map[string]Outcome{}
 	}
-	r.revision, r.values, r.answered, r.order = s.Revision, s.Values, s.Answered, s.Order
+	if s.Floor == nil {
+		s.Floor = &s.Revision
+	}
+	r.revision, r.values, r.answered, r.order, r.deleted, r.floor = s.Revision, s.Values, s.Answered, s.Order, s.Deleted, *s.Floor
 	return nil
 }
--- a/internal/store/record_test.go
+++ b/internal/store/record_test.go
@@ -83,3 +83,48 @@
 	require.Equal(t, map[string]Value{"config/n0": {1, raw(`{"a":1}`)}}, r.values)
 	require.Error(t, r.restore([]byte("{")))
 }
+
+// Who watches from any revision, at times through a snapshot, holds what the record holds, and is told nothing twice; what is
+// forgotten of deletions makes the answer whole.
+func TestWatchFollows(t *testing.T) {
+	wholes := 0
+	for seed := range uint64(100) {
+		random := rand.New(rand.NewPCG(seed, 2))
+		bounds := recordBounds{keys: 8, value: 100, window: 3}
+		r, held, at := newRecord(bounds), map[string]Value{}, uint64(0)
+		for range 60 {
+			key := fmt.Sprint([]string{"a/", "b/"}[random.IntN(2)], random.IntN(3))
+			if random.IntN(3) == 0 {
+				r.apply(Change{Delete: []string{key}})
+			} else {
+				r.apply(Change{Set: set(key, fmt.Sprint(random.IntN(9)))})
+			}
+			if random.IntN(10) == 0 {
+				text, err := json.Marshal(r.save())
+				require.NoError(t, err)
+				r = newRecord(bounds)
+				require.NoError(t, r.restore(text))
+			}
+			if random.IntN(4) > 0 {
+				continue
+			}
+			c := r.since(at, "a/")
+			if c.Whole {
+				wholes++
+				held = map[string]Value{}
+			}
+			for key, v := range c.Values {
+				require.Greater(t, v.Revision, held[key].Revision, "seed %d: %s is told again", seed, key)
+				held[key] = v
+			}
+			for _, key := range c.Deleted {
+				delete(held, key)
+			}
+			at = c.Revision
+			require.Equal(t, r.read([]string{"a/"}), held, "seed %d", seed)
+		}
+		require.True(t, r.since(r.revision+1, "").Whole, "of another record")
+	}
+	require.Positive(t, wholes)
+	require.Contains(t, newRecord(recordBounds{keys: 1, value: 9}).apply(Change{Set: set("a/", "1")}).Error, "ends in /")
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -10,7 +10,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"maps"
 	"net"
 	"net/http"
 	"path/filepath"
@@ -28,6 +27,10 @@
 
 // Store holds JSON values by key.
 type Store interface {
+	// Leads tells whether this pooler leads the others, as far as it knows: a majority may have chosen another a moment ago.
+	Leads() bool
+	// HandOver lets another lead.
+	HandOver() error
 	// Put stores a value in the background. A later value under the key replaces one that is still waiting.
 	Put(key string, value any)
 	// All returns what this pooler knows of all of them.
@@ -42,6 +45,7 @@
 	raft   *raft.Raft
 	apis   map[raft.ServerID]string
 	http   *http.Server
+	caller *http.Client // of the one that leads
 	bolt   io.Closer
 	state  state
 
@@ -57,9 +61,9 @@
 	if err := cfg.lists(name); err != nil {
 		return nil, err
 	}
-	r := &replicated{limits: l, log: log, apis: map[raft.ServerID]string{}, waiting: map[string][]byte{},
+	r := &replicated{limits: l, log: log, apis: map[raft.ServerID]string{}, caller: caller(nil), waiting: map[string][]byte{},
 		wake: make(chan struct{}, 1), done: make(chan struct{}),
-		state: state{record: newRecord(recordBounds{keys: l.StoreKeys, value: l.StoreValue, window: l.StoreWindow})}}
+		state: state{record: newRecord(recordBounds{keys: l.StoreKeys, value: l.StoreValue, window: l.StoreWindow}), changed: make(chan struct{})}}
 	rc := raft.DefaultConfig()
 	rc.LocalID = raft.ServerID(name)
 	rc.Logger = hclog.New(&hclog.LoggerOptions{Name: "raft", Level: hclog.Warn, Output: log})
@@ -87,6 +91,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("store: listen: %w", err)
 		}
+		r.caller = caller(stream.own.IP)
 		transport, servers = raft.NewNetworkTransportWithLogger(stream, 2, l.StoreWait, rc.Logger), nil
 		for _, p := range cfg.Peers {
 			r.apis[raft.ServerID(p.Name)] = p.API
@@ -106,7 +111,7 @@
 	if r.raft, err = raft.NewRaft(rc, &r.state, logs, stable, snapshots, transport); err != nil {
 		return nil, fmt.Errorf("store: %w", err)
 	}
-	if err := r.serve(cfg.API); err != nil {
+	if err := r.serve(cmp.Or(cfg.APIBind, cfg.API)); err != nil {
 		return nil, err
 	}
 	r.ended.Add(1)
@@ -133,11 +138,15 @@
 
 func (r *replicated) All() map[string]json.RawMessage { return r.state.all() }
 
+func (r *replicated) Leads() bool { return r.raft.State() == raft.Leader }
+
+func (r *replicated) HandOver() error { return r.raft.LeadershipTransfer().Error() }
+
 func (r *replicated) Close() {
 	close(r.done)
 	r.ended.Wait()
-	if r.raft.State() == raft.Leader && len(r.apis) > 1 { // Against a time without a leader at a planned stop.
-		if err := r.raft.LeadershipTransfer().Error(); err != nil {
+	if r.Leads() && len(r.apis) > 1 { // Against a time without a leader at a planned stop.
+		if err := r.HandOver(); err != nil {
 			r.log.Warn().Err(err).Msg("store: nobody takes the lead over")
 		}
 	}
@@ -195,7 +204,7 @@
 	if err != nil {
 		return o, err
 	}
-	if r.raft.State() == raft.Leader {
+	if r.Leads() {
 		f := r.raft.Apply(text, r.limits.StoreWait)
 		if err := f.Error(); err != nil {
 			return o, err
@@ -208,8 +217,8 @@
 }
 
 // read returns values as of a moment between the call and its answer (linearizable). Unlike All it needs a majority.
-func (r *replicated) read(keys []string, may bool) (a readAnswer, err error) {
-	if r.raft.State() == raft.Leader {
+func (r *replicated) read(keys []string, may bool) (a Values, err error) {
+	if r.Leads() {
 		// A majority has taken the barrier in behind all that was agreed on before the call, and this pooler has applied it.
 		if err := r.raft.Barrier(r.limits.StoreWait).Error(); err != nil {
 			return a, err
@@ -225,7 +234,8 @@
 	return a, err
 }
 
-type readAnswer struct {
+// Values are what stood under some keys at a revision of the record.
+type Values struct {
 	Revision uint64           `json:"revision"`
 	Values   map[string]Value `json:"values"`
 }
@@ -244,7 +254,7 @@
 		return err
 	}
 	request.Header.Set(forwarded, "1")
-	answer, err := http.DefaultClient.Do(request)
+	answer, err := r.caller.Do(request)
 	if err != nil {
 		return err
 	}
@@ -308,17 +318,49 @@
 		a, err := r.read(keys, q.Header.Get(forwarded) == "")
 		reply(w, a, err)
 	})
+	mux.HandleFunc("GET /v1/watch", r.watch)
 	r.http = &http.Server{Handler: mux, ReadHeaderTimeout: r.limits.StoreWait}
 	go r.http.Serve(l)
 	return nil
 }
 
+// watch answers what has become of the keys of a name since a revision, as this pooler has it, once there is something, or after the
+// time that the caller waits.
+func (r *replicated) watch(w http.ResponseWriter, q *http.Request) {
+	after, err := strconv.ParseUint(cmp.Or(q.FormValue("after"), "0"), 10, 64)
+	wait, bad := strconv.ParseUint(cmp.Or(q.FormValue("wait_ms"), "0"), 10, 31)
+	if err != nil || bad != nil {
+		http.Error(w, "after is a revision, and wait_ms a time", http.StatusBadRequest)
+		return
+	}
+	over := time.NewTimer(min(time.Duration(wait)*time.Millisecond, r.limits.StoreWatch))
+	defer over.Stop()
+	for {
+		c, next := r.state.since(after, q.FormValue("name"))
+		if len(c.Values)+len(c.Deleted) > 0 || c.Whole {
+			next = nil
+		}
+		if next != nil {
+			select {
+			case <-next:
+				continue
+			case <-over.C:
+			case <-q.Context().Done():
+				return
+			case <-r.done:
+			}
+		}
+		r.stamp(w)
+		reply(w, c, nil)
+		return
+	}
+}
+
 // stamp says how old what this pooler has at hand may be: so long ago a leader was last heard. A leader that has been cut off takes
 // itself for one for half a second more.
 func (r *replicated) stamp(w http.ResponseWriter) {
-	revision, _ := r.state.read([]string{""})
-	w.Header().Set("Capercove-Revision", strconv.FormatUint(revision, 10))
-	if r.raft.State() == raft.Leader {
+	w.Header().Set("Capercove-Revision", strconv.FormatUint(r.state.revision(), 10))
+	if r.Leads() {
 		w.Header().Set("Capercove-Age-Ms", "0")
 	} else if at := r.raft.LastContact(); !at.IsZero() {
 		w.Header().Set("Capercove-Age-Ms", strconv.FormatInt(time.Since(at).Milliseconds(), 10))
@@ -348,8 +390,27 @@
 
 // state is the record as the log has led to it here. It implements raft.FSM.
 type state struct {
-	mu     sync.Mutex
-	record *record
+	mu      sync.Mutex
+	record  *record
+	changed chan struct{} // closed at the next change
+}
+
+// notify wakes those that watch; mu is held.
+func (s *state) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *state) since(after uint64, name string) (Changes, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.record.since(after, name), s.changed
+}
+
+func (s *state) revision() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.record.revision
 }
 
 // all are the values alone.
@@ -363,20 +424,10 @@
 	return values
 }
 
-// read returns the values under some keys, all of them where none is named, and the revision of the record.
-func (s *state) read(keys []string) (revision uint64, values map[string]Value) {
+func (s *state) read(names []string) (revision uint64, values map[string]Value) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(keys) == 0 {
-		return s.record.revision, maps.Clone(s.record.values)
-	}
-	values = map[string]Value{}
-	for _, key := range keys {
-		if v, has := s.record.values[key]; has {
-			values[key] = v
-		}
-	}
-	return s.record.revision, values
+	return s.record.revision, s.record.read(names)
 }
 
 func (s *state) Apply(entry *raft.Log) any {
@@ -386,7 +437,12 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.record.apply(c)
+	before := s.record.revision
+	o := s.record.apply(c)
+	if s.record.revision != before {
+		s.notify()
+	}
+	return o
 }
 
 func (s *state) Snapshot() (raft.FSMSnapshot, error) {
@@ -403,6 +459,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	defer s.notify()
 	return s.record.restore(text)
 }
 
--- a/internal/testbed/database.go
+++ b/internal/testbed/database.go
@@ -44,6 +44,7 @@
 	stats   atomic.Value // string, see Tell
 	mu      sync.Mutex
 	got     []string
+	came    []time.Time // when each of got came
 	started int
 	ran     map[string]int // executed statements that call a writing function, by their id
 	strayed int            // ... that came while this was no primary, and were turned away
@@ -107,6 +108,18 @@
 	return append([]string{}, d.got...)
 }
 
+// Between are the statements that have come in a time, probes left out.
+func (d *Database) Between(from, to time.Time) (got []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for i, at := range d.came {
+		if at.After(from) && at.Before(to) {
+			got = append(got, d.got[i])
+		}
+	}
+	return got
+}
+
 // Probes is how many probes have come.
 func (d *Database) Probes() int {
 	d.mu.Lock()
@@ -203,7 +216,7 @@
 func (d *Database) note(sql string) string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.got = append(d.got, sql)
+	d.got, d.came = append(d.got, sql), append(d.came, time.Now())
 	if m := writing.FindStringSubmatch(sql); m != nil {
 		if !d.primary.Load() {
 			d.strayed++
--- a/internal/testbed/fleet.go
+++ b/internal/testbed/fleet.go
@@ -36,6 +36,9 @@
 
 var fleets atomic.Int32 // of this test process
 
+// Turn is how often a fleet is looked at.
+const Turn = 20 * time.Millisecond
+
 // FleetPatience is how long a fleet may take to settle on a busy machine.
 const FleetPatience = 120 * time.Second
 
@@ -71,6 +74,43 @@
 	return f
 }
 
+// NewWorks prepares n poolers that talk and take machines out for work together; the first three, or all, keep the record. None is
+// started. More are lines of [works]. All links between two of them are cut and healed together.
+func NewWorks(t *testing.T, seed uint64, n int, more string, options ...Option) *Fleet {
+	f := newFleet(t, seed, n, options)
+	peers, record := "", ""
+	lines := map[string]string{}
+	for _, name := range f.Names[:min(n, 3)] {
+		listen, public := f.place(name)
+		api, reached := f.place(name)
+		f.apis[name] = reached
+		lines[name] = fmt.Sprintf("listen = %q\nbind = %q\napi = %q\napi_bind = %q\ndir = %q\n", public, listen, reached, api, t.TempDir())
+		peers += fmt.Sprintf("[[store.peers]]\nname = %q\nlisten = %q\napi = %q\n", name, public, reached)
+		record += fmt.Sprintf("%q, ", reached)
+	}
+	f.table = func(name string) string {
+		text := fmt.Sprintf("[fleet]\nenabled = true\ncluster = \"c\"\nlisten = %q\nadvertise = %q\nseeds = [%q]\nzone = %q\nslower = 0.25\n"+
+			"[works]\nenabled = true\n%s\n", f.own[name], f.public[name], f.public[f.Names[0]], "z"+name, more)
+		if lines[name] == "" {
+			return text + fmt.Sprintf("record = [%s]\n", record)
+		}
+		return text + "[store]\nenabled = true\n" + lines[name] + peers
+	}
+	return f
+}
+
+// place puts one more address of a pooler behind a relay.
+func (f *Fleet) place(name string) (listen, public string) {
+	own, err := netip.ParseAddrPort(f.own[name])
+	require.NoError(f.T, err)
+	at, err := netip.ParseAddrPort(f.public[name])
+	require.NoError(f.T, err)
+	listen, r, err := f.Net.Place(name, own.Addr(), at.Addr())
+	require.NoError(f.T, err)
+	f.T.Cleanup(r.Close)
+	return listen, r.Addr()
+}
+
 // API is where a pooler's store is called.
 func (f *Fleet) API(name string) string { return f.apis[name] }
 
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -75,6 +75,17 @@
 // Option changes a bed before the program starts.
 type Option func(*Bed)
 
+// WithReplicas adds replicas to the group, db-2 and so on.
+func WithReplicas(n int) Option {
+	return func(b *Bed) {
+		for range n {
+			d := newDatabase(b.T, fmt.Sprintf("db-%d", len(b.Databases)), false)
+			b.Databases = append(b.Databases, d)
+			b.Known = append(b.Known, d.entry("SERVING"))
+		}
+	}
+}
+
 // WithFlight turns the Flight SQL front and the databases' own on.
 func WithFlight(b *Bed) {
 	b.Flight = Free(b.T)
--- /dev/null
+++ b/internal/works/driver/driver.go
@@ -0,0 +1,511 @@
+// Package driver takes the works through at one pooler: it reads what is agreed, keeps the pooler off machines that are out, says when
+// nothing is out there any more, and, at the pooler that leads the record, takes the plan further. What is decided is in package
+// works; no request waits for anything here.
+package driver
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"capercove/choice"
+	"capercove/internal/core"
+	"capercove/internal/discovery"
+	"capercove/internal/fleet/gossip"
+	"capercove/internal/store"
+	"capercove/internal/works"
+)
+
+const (
+	turn     = 50 * time.Millisecond  // while something is agreed or out, this often
+	look     = 250 * time.Millisecond // the leader looks this often, where there is a plan
+	idle     = time.Second            // and this often whether there is one
+	watches  = 10 * time.Second       // a watch of the record waits so long
+	pause    = 200 * time.Millisecond // after a call of the record that failed
+	leaves   = 500 * time.Millisecond // for the word that this pooler leaves
+	renewals = 4                      // reads in a lease
+)
+
+// Pooler is what the driver works for. Core is called on the event loop only, but for its figures.
+type Pooler struct {
+	Name        string
+	Core        *core.Core
+	Do          func(func()) // runs on the event loop, soon
+	Store       store.Store  // nil: this pooler keeps none of the record
+	Client      *store.Client
+	Fleet       func() gossip.State
+	Incarnation func() uint64
+	Zones       []string
+	Fresh       time.Duration // what the tightest class bears
+	Clock       func() time.Duration
+	Log         zerolog.Logger
+}
+
+// Driver is one pooler's.
+type Driver struct {
+	pooler Pooler
+	config Config
+	cancel context.CancelFunc
+	ended  sync.WaitGroup
+	kicked chan struct{}
+	active atomic.Bool // there is a plan
+	calls  atomic.Int64
+	lapsed atomic.Bool // as last logged
+	unsaid atomic.Bool // the record has no word of this pooler
+
+	mu     sync.Mutex // guards all below
+	reader *works.Reader
+	held   map[string]store.Value // under works.Now
+	at     uint64                 // revision of held
+	record works.Record           // of held
+	broken string                 // why held cannot be read
+	looker looker
+	shown  Shown
+	asked  time.Duration // when databases were last asked who leads
+
+	// The word's goroutine's.
+	word     works.Word
+	said     bool
+	revision uint64 // at which the word was set
+}
+
+// Start begins. Until the record has been read, or for the length of a lease, the pooler keeps off all databases: Off must have been
+// handed to the core before.
+func Start(c Config, p Pooler) *Driver {
+	now := p.Clock()
+	d := &Driver{pooler: p, config: c, kicked: make(chan struct{}, 1), reader: works.NewReader(now, works.Rules{Lease: ms(c.LeaseMS)}),
+		held: map[string]store.Value{}, looker: looker{zones: p.Zones, fresh: p.Fresh, peaks: map[int]float64{}}}
+	if c.FreshMS > 0 {
+		d.looker.fresh = ms(c.FreshMS)
+	}
+	var ctx context.Context
+	ctx, d.cancel = context.WithCancel(context.Background())
+	for _, run := range []func(context.Context){d.watch, d.renew, d.act, d.lead} {
+		d.ended.Go(func() { run(ctx) })
+	}
+	return d
+}
+
+// Off is what a pooler keeps off that begins now.
+func (c Config) Off(now time.Duration) core.Off {
+	return core.Off{All: true, Until: now + ms(c.LeaseMS)}
+}
+
+// Stop ends, once nothing is sent any more, and says in the record that this pooler has left.
+func (d *Driver) Stop() {
+	d.cancel()
+	d.ended.Wait()
+	ctx, cancel := context.WithTimeout(context.Background(), leaves)
+	defer cancel()
+	if _, err := d.pooler.Client.Change(ctx, store.Change{Delete: []string{works.WordKey(d.pooler.Name)}}); err != nil {
+		d.pooler.Log.Warn().Err(err).Msg("works: the record does not know that this pooler leaves")
+	}
+}
+
+func sleep(ctx context.Context, t time.Duration) {
+	select {
+	case <-time.After(t):
+	case <-ctx.Done():
+	}
+}
+
+func (d *Driver) kick() {
+	select {
+	case d.kicked <- struct{}{}:
+	default:
+	}
+}
+
+// ---- Reading
+
+// watch follows what is agreed, as soon as any store that it reaches knows it.
+func (d *Driver) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		d.mu.Lock()
+		after := d.at
+		d.mu.Unlock()
+		c, err := d.pooler.Client.Watch(ctx, works.Now, after, watches)
+		if err != nil {
+			sleep(ctx, pause)
+			continue
+		}
+		if d.news(after, c) {
+			d.kick()
+		} else {
+			sleep(ctx, turn)
+		}
+	}
+}
+
+// news takes in what a watch has brought; false: it waits for renew. A plan that is new is read with its lease: what it lists would
+// else be kept off until then.
+func (d *Driver) news(after uint64, c store.Changes) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if c.Revision <= d.at || after != d.at && !c.Whole { // renew was faster
+		return true
+	}
+	held := maps.Clone(d.held)
+	if c.Whole {
+		clear(held)
+	}
+	maps.Copy(held, c.Values)
+	for _, key := range c.Deleted {
+		delete(held, key)
+	}
+	if r, err := parse(held); err == nil && r.Plan.Active() && r.Plan.ID != d.record.Plan.ID {
+		d.active.Store(true)
+		return false
+	}
+	if d.take(held, c.Revision) {
+		d.reader.Heard(d.at, d.record.Course())
+	}
+	return true
+}
+
+// renew renews the lease while there is a plan, and reads the record for the first time.
+func (d *Driver) renew(ctx context.Context) {
+	known, failing := false, false
+	for ctx.Err() == nil {
+		if known && !d.active.Load() {
+			sleep(ctx, turn)
+			continue
+		}
+		asked := d.pooler.Clock()
+		key := works.WordKey(d.pooler.Name)
+		v, err := d.pooler.Client.Read(ctx, works.Now, key)
+		if failed := err != nil; failed != failing && ctx.Err() == nil {
+			failing = failed
+			d.pooler.Log.Warn().Bool("failing", failing).Err(err).Msg("works: reading the record")
+		}
+		if err != nil {
+			sleep(ctx, pause)
+			continue
+		}
+		if _, stands := v.Values[key]; !stands { // Against a word that was taken back while this pooler was taken for gone.
+			d.unsaid.Store(true)
+		}
+		delete(v.Values, key)
+		d.mu.Lock()
+		if v.Revision < d.at || d.take(v.Values, v.Revision) {
+			d.reader.Read(asked, d.at, d.record.Course())
+			known = true
+		}
+		d.mu.Unlock()
+		d.kick()
+		sleep(ctx, ms(d.config.LeaseMS)/renewals)
+	}
+}
+
+// take takes in what stands under works.Now; mu is held. What cannot be read changes nothing: the lease runs out.
+func (d *Driver) take(held map[string]store.Value, revision uint64) bool {
+	r, err := parse(held)
+	if err != nil {
+		if err.Error() != d.broken {
+			d.broken = err.Error()
+			d.pooler.Log.Error().Err(err).Msg("works: the record cannot be read")
+		}
+		return false
+	}
+	d.held, d.at, d.record, d.broken = held, revision, r, ""
+	d.active.Store(r.Plan.Active())
+	return true
+}
+
+func parse(values map[string]store.Value) (works.Record, error) {
+	texts, revisions := map[string]json.RawMessage{}, map[string]uint64{}
+	for key, v := range values {
+		texts[key], revisions[key] = v.Value, v.Revision
+	}
+	return works.Parse(texts, revisions)
+}
+
+// ---- Keeping off, and saying so
+
+// act keeps the pooler off what is out, and says when nothing is out there.
+func (d *Driver) act(ctx context.Context) {
+	for ctx.Err() == nil {
+		out := d.keepOff(ctx)
+		d.say(ctx, out)
+		wait := idle
+		if d.active.Load() {
+			wait = turn
+		}
+		select {
+		case <-d.kicked:
+		case <-time.After(wait):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// keepOff hands the pooler what it has to keep off, and returns the tries for which it has nothing out any more, with the plan that
+// they are of.
+func (d *Driver) keepOff(ctx context.Context) (w works.Word) {
+	f := d.pooler.Core.Figures()
+	groups, group := map[int][]string{}, map[string]int{}
+	for _, s := range f.Sights {
+		groups[s.Group] = append(groups[s.Group], s.Name)
+		group[s.Name] = s.Group
+	}
+	d.mu.Lock()
+	now := d.pooler.Clock()
+	lapses := d.reader.Lapses()
+	off := core.Off{All: !d.reader.Known(), Until: lapses, Now: map[choice.NodeID]bool{}, Worn: map[choice.NodeID]bool{}, Then: map[choice.NodeID]bool{},
+		Blind: map[choice.NodeID]bool{}}
+	agreed := map[choice.NodeID]bool{}
+	for _, name := range slices.Sorted(maps.Keys(group)) {
+		id := discovery.ID(name)
+		others := slices.DeleteFunc(slices.Clone(groups[group[name]]), func(o string) bool { return o == name })
+		if may, _ := d.reader.May(now, name, others); !may {
+			off.Now[id] = true
+		}
+		may, blind := d.reader.May(max(now, lapses), name, others)
+		if !may {
+			off.Then[id] = true
+		}
+		if blind {
+			off.Blind[id] = true
+		}
+		switch d.record.Steps[name].State {
+		case works.Agreed:
+			agreed[id] = true
+		case works.Back:
+			off.Worn[id] = true
+		}
+	}
+	active, plan := d.record.Plan.Active(), d.record.Plan.ID
+	if lapsed := active && now >= lapses; lapsed != d.lapsed.Load() {
+		d.lapsed.Store(lapsed)
+		d.pooler.Log.Warn().Bool("lapsed", lapsed).Msg("works: the lease on the record")
+	}
+	if !active && d.reader.Known() {
+		off = core.Off{Worn: off.Worn}
+	}
+	d.shown.Off = nil
+	for _, name := range slices.Sorted(maps.Keys(group)) {
+		if off.All || off.Now[discovery.ID(name)] {
+			d.shown.Off = append(d.shown.Off, name)
+		}
+	}
+	ask := d.leaders(now, f.Sights, off.Now)
+	d.mu.Unlock()
+	left := make(chan map[choice.NodeID]int, 1)
+	d.pooler.Do(func() {
+		d.pooler.Core.KeepOff(off)
+		for _, name := range ask {
+			d.pooler.Core.Ask(name)
+		}
+		left <- d.pooler.Core.Out(agreed)
+	})
+	select {
+	case out := <-left:
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.shown.Out = map[string]int{}
+		w.Plan = plan
+		w.Stopped = d.reader.Stopped(func(name string) int {
+			id := discovery.ID(name)
+			if !agreed[id] { // it was agreed on only now
+				return 1
+			}
+			d.shown.Out[name] = out[id]
+			return out[id]
+		})
+		return w
+	case <-ctx.Done():
+		return d.word
+	}
+}
+
+// leaders are databases to ask, as all that this pooler takes for the primary of their group is kept off: another has taken over, and it
+// has seen nothing of that yet. Mu is held.
+func (d *Driver) leaders(now time.Duration, sights []core.Sight, off map[choice.NodeID]bool) (ask []string) {
+	if len(off) == 0 || now-d.asked < look {
+		return nil
+	}
+	d.asked = now
+	led, kept := map[int]bool{}, map[int]bool{}
+	for _, s := range sights {
+		kept[s.Group] = kept[s.Group] || off[s.ID]
+		led[s.Group] = led[s.Group] || s.Primary && !off[s.ID]
+	}
+	for _, s := range sights {
+		if kept[s.Group] && !led[s.Group] && !off[s.ID] {
+			ask = append(ask, s.Name)
+		}
+	}
+	return ask
+}
+
+// say writes this pooler's word, if it has changed.
+func (d *Driver) say(ctx context.Context, w works.Word) {
+	if d.unsaid.Swap(false) && d.said {
+		d.said, d.revision = false, 0
+	}
+	w.Incarnation, w.LeaseMS = d.pooler.Incarnation(), int64(d.config.LeaseMS)
+	if d.said && w.Incarnation == d.word.Incarnation && w.Plan == d.word.Plan && maps.Equal(w.Stopped, d.word.Stopped) || ctx.Err() != nil {
+		return
+	}
+	text, err := json.Marshal(w)
+	if err != nil {
+		panic(err) // a fault of this program: there is nothing in it that cannot be written
+	}
+	key := works.WordKey(d.pooler.Name)
+	o, err := d.pooler.Client.Change(ctx, store.Change{ID: d.id(), If: map[string]uint64{key: d.revision}, Set: map[string]json.RawMessage{key: text}})
+	switch {
+	case err != nil: // It may have been done: the next one would meet its revision.
+		d.find(ctx, key)
+	case !o.Applied:
+		d.find(ctx, key)
+	default:
+		d.said, d.word, d.revision = true, w, o.Revision
+	}
+}
+
+// find finds at which revision this pooler's word stands.
+func (d *Driver) find(ctx context.Context, key string) {
+	if v, err := d.pooler.Client.Read(ctx, key); err == nil {
+		d.said, d.revision = false, v.Values[key].Revision
+	}
+}
+
+// id is a new one of a change.
+func (d *Driver) id() string {
+	return fmt.Sprintf("works/%s/%d/%d", d.pooler.Name, d.pooler.Incarnation(), d.calls.Add(1))
+}
+
+// ---- Leading
+
+// lead takes the plan further while this pooler leads the record.
+func (d *Driver) lead(ctx context.Context) {
+	if d.pooler.Store == nil {
+		return
+	}
+	var l *works.Leader
+	self := works.Life{}
+	for ; ctx.Err() == nil; sleep(ctx, look) {
+		if !d.pooler.Store.Leads() {
+			l = nil
+			continue
+		}
+		if now := d.self(); l == nil || self != now { // it has been taken for gone
+			l, self = works.NewLeader(d.manner(now)), now
+		}
+		r, err := d.whole(ctx)
+		if err != nil {
+			continue
+		}
+		s := d.see(r.Plan.Wish.Bears)
+		o := l.Lead(d.pooler.Clock(), time.Duration(time.Now().UnixNano()), r, s)
+		d.ask(o.Ask)
+		if o.Resign {
+			d.pooler.Log.Info().Msg("works: another is to lead the record, as this pooler is next")
+			if err := d.pooler.Store.HandOver(); err != nil {
+				d.pooler.Log.Warn().Err(err).Msg("works: nobody takes the lead over")
+			}
+			continue
+		}
+		if d.agree(ctx, o, r) {
+			for _, call := range o.Calls {
+				d.ended.Go(func() { d.hook(ctx, call, self) })
+			}
+		}
+		if !r.Plan.Active() {
+			sleep(ctx, idle)
+		}
+	}
+}
+
+func (d *Driver) self() works.Life {
+	return works.Life{Name: d.pooler.Name, Incarnation: d.pooler.Incarnation()}
+}
+
+func (d *Driver) manner(self works.Life) works.Manner {
+	return works.Manner{Self: self, Hook: len(d.config.Hook) > 0 || d.config.HookURL != "", HandsOver: len(d.config.HandOver) > 0,
+		Calls: d.config.HookCalls, Lease: ms(d.config.LeaseMS), Skew: ms(d.config.SkewMS), Settle: ms(d.config.SettleMS)}
+}
+
+func (d *Driver) whole(ctx context.Context) (works.Record, error) {
+	v, err := d.pooler.Client.Read(ctx, works.All)
+	if err != nil {
+		return works.Record{}, err
+	}
+	return parse(v.Values)
+}
+
+func (d *Driver) see(bears float64) works.Seen {
+	f, s, leads := d.pooler.Core.Figures(), d.pooler.Fleet(), d.pooler.Store != nil && d.pooler.Store.Leads()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.looker.see(d.pooler.Clock(), f, s, leads, bears)
+}
+
+func (d *Driver) ask(databases []string) {
+	if len(databases) > 0 {
+		d.pooler.Do(func() {
+			for _, name := range databases {
+				d.pooler.Core.Ask(name)
+			}
+		})
+	}
+}
+
+// agree writes what is to be agreed on, again and again under one id until it is known whether it was; true: it was, or there is
+// nothing to write.
+func (d *Driver) agree(ctx context.Context, o works.Orders, r works.Record) bool {
+	on, set, deleted := o.Change(r)
+	if on == nil {
+		return true
+	}
+	c := store.Change{ID: d.id(), If: on, Set: set, Delete: deleted}
+	for ; ctx.Err() == nil; sleep(ctx, pause) {
+		outcome, err := d.pooler.Client.Change(ctx, c)
+		switch {
+		case outcome.Error != "":
+			d.pooler.Log.Error().Err(err).Msg("works: cannot be agreed on")
+			return false
+		case err != nil: // not known yet
+			continue
+		}
+		if outcome.Applied {
+			for _, e := range o.Entries {
+				d.pooler.Log.Info().Str("machine", e.Machine).Uint64("number", e.Number).Str("by", e.By).Msg("works: " + e.What)
+			}
+		}
+		return outcome.Applied
+	}
+	return false
+}
+
+// hook calls a hook, and writes how it ended. Only the pooler that called it knows; if its end cannot be written while this process
+// lives, nobody else may write it.
+func (d *Driver) hook(ctx context.Context, call works.Call, self works.Life) {
+	d.pooler.Log.Info().Str("machine", call.Machine).Str("to", call.To).Uint64("number", call.Number).Msg("works: a hook is called")
+	failed := d.config.call(ctx, call)
+	m := d.manner(self)
+	for ; ctx.Err() == nil; sleep(ctx, pause) {
+		r, err := d.whole(ctx)
+		if err != nil {
+			continue
+		}
+		o := m.Ended(d.pooler.Clock(), time.Duration(time.Now().UnixNano()), r, call, failed)
+		if on, _, _ := o.Change(r); on == nil {
+			return // it is known, or of a try that is over
+		}
+		if !d.agree(ctx, o, r) {
+			continue
+		}
+		for _, again := range o.Calls {
+			d.ended.Go(func() { d.hook(ctx, again, self) })
+		}
+		return
+	}
+}
--- /dev/null
+++ b/internal/works/driver/hook.go
@@ -0,0 +1,90 @@
+package driver
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"time"
+
+	"capercove/internal/works"
+)
+
+const hookSays = 300 // bytes of what a hook says that are kept
+
+// call calls the hook of a call and waits for its end; the text says why it failed.
+func (c Config) call(ctx context.Context, call works.Call) (failed string) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(c.HookSeconds)*time.Second)
+	defer cancel()
+	verb, program := "work", c.Hook
+	if call.To != "" {
+		verb, program = "hand-over", c.HandOver
+	}
+	var err error
+	if c.HookURL != "" && call.To == "" {
+		err = post(ctx, c.HookURL, verb, call)
+	} else {
+		err = start(ctx, program, verb, call)
+	}
+	switch {
+	case err == nil:
+		return ""
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return fmt.Sprintf("it has not ended after %d s", c.HookSeconds)
+	}
+	return err.Error()
+}
+
+// start starts a program: its own arguments, then what is to be done, the machine, and who takes over, if it is that.
+func start(ctx context.Context, program []string, verb string, call works.Call) error {
+	args := append(append([]string{}, program[1:]...), verb, call.Machine)
+	if call.To != "" {
+		args = append(args, call.To)
+	}
+	var out bytes.Buffer
+	p := exec.CommandContext(ctx, program[0], args...)
+	p.Env = append(os.Environ(), "CAPERCOVE_WORK="+strconv.FormatUint(call.Number, 10))
+	p.Stdout, p.Stderr = limited{&out}, limited{&out}
+	p.WaitDelay = time.Second // Against a child of its own that holds the output open.
+	if err := p.Run(); err != nil {
+		return fmt.Errorf("%w: %s", err, strings.TrimSpace(out.String()))
+	}
+	return nil
+}
+
+// limited keeps the first bytes.
+type limited struct{ b *bytes.Buffer }
+
+func (l limited) Write(p []byte) (int, error) {
+	l.b.Write(p[:min(len(p), hookSays-min(hookSays, l.b.Len()))])
+	return len(p), nil
+}
+
+func post(ctx context.Context, to, verb string, call works.Call) error {
+	body, err := json.Marshal(map[string]any{"id": call.Number, "do": verb, "machine": call.Machine})
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, to, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode/100 != 2 {
+		why, _ := io.ReadAll(io.LimitReader(answer.Body, hookSays))
+		return fmt.Errorf("%s %s", answer.Status, strings.TrimSpace(string(why)))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/works/driver/show.go
@@ -0,0 +1,348 @@
+package driver
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"capercove/internal/config/tables"
+	"capercove/internal/store"
+	"capercove/internal/works"
+)
+
+// Shown is what operators see of a pooler's part.
+type Shown struct {
+	Name     string         `json:"name"`
+	Leads    bool           `json:"leads"`            // the record
+	Record   []string       `json:"record"`           // where it is called
+	Revision uint64         `json:"revision"`         // of what this pooler has read
+	Lapses   int64          `json:"lapses_ms"`        // until the lease runs out; under 0: it has
+	Broken   string         `json:"broken,omitempty"` // why the record cannot be read
+	Off      []string       `json:"off,omitempty"`    // databases to which it sends nothing new
+	Out      map[string]int `json:"out,omitempty"`    // requests that are out where it is to stop
+	Blind    int64          `json:"blind"`            // requests sent to what could be at work, as nothing else was left
+	Plan     works.Plan     `json:"plan"`             // as this pooler has it, as the next
+	Steps    []works.Step   `json:"steps"`
+	Look     works.Look     `json:"look"`
+}
+
+// Show is what this pooler sees and has read. It asks databases of which nothing has been heard of late, so that a later look has
+// more to see.
+func (d *Driver) Show(bears float64) Shown {
+	seen := d.see(bears)
+	now := d.pooler.Clock()
+	var ask []string
+	for name, at := range seen.Heard {
+		if now-at > heardLately/3 {
+			ask = append(ask, name)
+		}
+	}
+	d.ask(ask)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.shown
+	s.Name, s.Leads, s.Record = d.pooler.Name, d.pooler.Store != nil && d.pooler.Store.Leads(), d.pooler.Client.At()
+	s.Revision, s.Lapses, s.Broken, s.Blind = d.at, (d.reader.Lapses() - now).Milliseconds(), d.broken, d.pooler.Core.Figures().Blind
+	s.Plan, s.Steps, s.Look = d.record.Plan, d.record.Course(), seen.Look
+	return s
+}
+
+// ---- Commands
+
+const (
+	callWaits = 2 * time.Second        // for a pooler, or the record
+	looks     = 5 * time.Second        // a plan that cannot be done is looked at again for so long, as evidence comes in
+	watchEach = 500 * time.Millisecond // of status --watch
+)
+
+// operator calls a pooler and the record for a command.
+type operator struct {
+	at     string
+	client *store.Client
+	shown  Shown
+	out    io.Writer
+}
+
+// Command runs a sub-command and prints what came of it. The status is 0, 1 where it cannot be done, or 2 where nobody answers; ok is
+// false for what is no command.
+func Command(args []string, out io.Writer) (status int, ok bool) {
+	flags := flag.NewFlagSet("works", flag.ContinueOnError)
+	flags.SetOutput(io.Discard)
+	asJSON, watch := flags.Bool("json", false, ""), flags.Bool("watch", false, "")
+	if len(args) == 0 || flags.Parse(args[1:]) != nil {
+		return 0, false
+	}
+	verb, rest := args[0], flags.Args()
+	names := 0 // before the address
+	if verb == "plan" || verb == "start" || works.Verb(verb).OfMachine() {
+		names = 1
+	}
+	known := []string{"plan", "start", "status", "history", string(works.Pause), string(works.Resume), string(works.GiveUp), string(works.Pass),
+		string(works.Begin), string(works.End), string(works.Forget)}
+	if !slices.Contains(known, verb) || len(rest) != names+1 {
+		return 0, false
+	}
+	o := &operator{at: rest[names], out: out}
+	if err := o.ask(0); err != nil {
+		fmt.Fprintln(out, err)
+		return 2, true
+	}
+	o.client = store.NewClient(o.shown.Record, callWaits, nil)
+	var err error
+	switch verb {
+	case "plan", "start":
+		err = o.plan(rest[0], verb == "start")
+	case "status":
+		return o.status(*asJSON, *watch), true
+	case "history":
+		err = o.history(*asJSON)
+	default:
+		name := ""
+		if names > 0 {
+			name = rest[0]
+		}
+		err = o.change(func(r works.Record, wall time.Duration) (works.Orders, error) {
+			return works.Do(wall, r, works.Verb(verb), name, who())
+		})
+	}
+	if err != nil {
+		fmt.Fprintln(out, err)
+		return 1, true
+	}
+	return 0, true
+}
+
+// who names the operator, for the history.
+func who() string { return cmp.Or(os.Getenv("USER"), "an operator") }
+
+// ask asks the pooler what it sees.
+func (o *operator) ask(bears float64) error {
+	answer, err := (&http.Client{Timeout: callWaits}).Get("http://" + o.at + "/works?bears=" + strconv.FormatFloat(bears, 'g', -1, 64))
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		why, _ := io.ReadAll(io.LimitReader(answer.Body, hookSays))
+		return fmt.Errorf("%s: %s", o.at, strings.TrimSpace(string(why)))
+	}
+	return json.NewDecoder(answer.Body).Decode(&o.shown)
+}
+
+func (o *operator) record() (works.Record, error) {
+	v, err := o.client.Read(context.Background(), works.All)
+	if err != nil {
+		return works.Record{}, fmt.Errorf("the record has no majority, or cannot be reached: %w", err)
+	}
+	return parse(v.Values)
+}
+
+// change makes a change on what stands in the record, anew where somebody else's came first.
+func (o *operator) change(decide func(works.Record, time.Duration) (works.Orders, error)) error {
+	id := fmt.Sprintf("works/operator/%d/%d", os.Getpid(), time.Now().UnixNano())
+	for try := range 20 {
+		r, err := o.record()
+		if err != nil {
+			return err
+		}
+		orders, err := decide(r, time.Duration(time.Now().UnixNano()))
+		if err != nil {
+			return err
+		}
+		on, set, deleted := orders.Change(r)
+		if on == nil {
+			return nil
+		}
+		c := store.Change{ID: fmt.Sprint(id, "/", try), If: on, Set: set, Delete: deleted}
+		outcome, err := o.client.Change(context.Background(), c)
+		if err != nil { // once more, under the same id: it is applied once
+			outcome, err = o.client.Change(context.Background(), c)
+		}
+		if err != nil {
+			return fmt.Errorf("it is not known whether it was agreed on: %w", err)
+		}
+		if outcome.Applied {
+			for _, e := range orders.Entries {
+				fmt.Fprintln(o.out, strings.TrimSpace(e.Machine+" "+e.What))
+			}
+			return nil
+		}
+	}
+	return fmt.Errorf("others change the plan all the time")
+}
+
+// plan prints the dry run of a wish, and starts it if it is to.
+func (o *operator) plan(path string, start bool) error {
+	w, err := readWish(path)
+	if err != nil {
+		return err
+	}
+	var order []works.Stage
+	for begun := time.Now(); ; time.Sleep(look) { // evidence comes in as it is asked for
+		if err := o.ask(w.Bears); err != nil {
+			return err
+		}
+		if err = w.Check(o.shown.Look.Machines); err == nil {
+			if order, err = works.Dry(w, o.shown.Look); err == nil {
+				break
+			}
+		}
+		if time.Since(begun) > looks {
+			o.order(order)
+			return fmt.Errorf("%s: %w", path, err)
+		}
+	}
+	o.order(order)
+	if !start {
+		return nil
+	}
+	id := fmt.Sprintf("%s-%d", time.Now().UTC().Format("20060102T150405"), os.Getpid())
+	return o.change(func(r works.Record, wall time.Duration) (works.Orders, error) {
+		return works.Start(wall, r, id, who(), w, o.shown.Look)
+	})
+}
+
+// readWish reads a file with a wish. Errors name the line and the key.
+func readWish(path string) (w works.Wish, err error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return w, err
+	}
+	if err := toml.NewDecoder(strings.NewReader(string(text))).DisallowUnknownFields().Decode(&w); err != nil {
+		return w, tables.Located(path, err)
+	}
+	return w, nil
+}
+
+func (o *operator) order(order []works.Stage) {
+	t := tabwriter.NewWriter(o.out, 0, 0, 2, ' ', 0)
+	for i, s := range order {
+		text := ""
+		if s.HandOver != "" {
+			text = "after " + s.HandOver + " has taken over"
+		}
+		fmt.Fprintf(t, "%d\t%s\tleaves %.2f\t%s\n", i+1, s.Machine, s.Leaves, text)
+	}
+	t.Flush()
+}
+
+// Status is what status shows: the plan as a majority holds it, or as the pooler that was asked has it.
+type Status struct {
+	Agreed bool              `json:"agreed"` // a majority holds it so
+	Why    string            `json:"why,omitempty"`
+	Plan   works.Plan        `json:"plan"`
+	Steps  []works.Step      `json:"steps"`
+	Waits  map[string]string `json:"waits"` // why each machine waits
+	Missed []string          `json:"missed,omitempty"`
+	Pooler Shown             `json:"pooler"`
+}
+
+func (o *operator) look() (s Status) {
+	r, err := o.record()
+	s = Status{Agreed: err == nil, Plan: r.Plan, Steps: r.Course(), Pooler: o.shown}
+	if err != nil {
+		s.Why, s.Plan, s.Steps = err.Error(), o.shown.Plan, o.shown.Steps
+	}
+	at := map[string]works.State{}
+	for _, step := range s.Steps {
+		at[step.Machine] = step.State
+		for name := range r.Words { // whose word a step waits for
+			if step.State == works.Agreed && step.Stopped[name] < r.Words[name].Incarnation && !slices.Contains(s.Missed, name) {
+				s.Missed = append(s.Missed, name)
+			}
+		}
+	}
+	slices.Sort(s.Missed)
+	d := works.Next(s.Plan.Wish, at, o.shown.Look)
+	s.Waits = d.Waits
+	if d.AskBack != "" {
+		s.Waits[d.AskBack] = "asked back, as its group has become too small"
+	}
+	return s
+}
+
+// status prints how far the plan is. 0: it goes on or is over; 1: it stands still, as it is paused or no majority is there.
+func (o *operator) status(asJSON, watch bool) int {
+	for last := ""; ; time.Sleep(watchEach) {
+		s := o.look()
+		var b strings.Builder
+		if asJSON {
+			json.NewEncoder(&b).Encode(s)
+		} else {
+			s.print(&b)
+		}
+		if text := b.String(); text != last {
+			fmt.Fprint(o.out, text)
+			last = text
+		}
+		if over := !s.Plan.Active(); !watch || over && s.Agreed {
+			if s.Agreed && s.Plan.State != works.Paused {
+				return 0
+			}
+			return 1
+		}
+		if err := o.ask(s.Plan.Wish.Bears); err != nil {
+			fmt.Fprintln(o.out, err)
+		}
+	}
+}
+
+func (s Status) print(out io.Writer) {
+	switch {
+	case s.Plan.ID == "":
+		fmt.Fprintln(out, "no plan")
+		return
+	case !s.Agreed:
+		fmt.Fprintf(out, "as %s has it, %s\n", s.Pooler.Name, s.Why)
+	}
+	fmt.Fprintf(out, "plan %s: %s", s.Plan.ID, s.Plan.State)
+	if s.Plan.Why != "" {
+		fmt.Fprintf(out, " (%s)", s.Plan.Why)
+	}
+	fmt.Fprintln(out)
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	for _, step := range s.Steps {
+		text := s.Waits[step.Machine]
+		switch {
+		case step.State == works.Agreed && len(s.Missed) > 0:
+			text = "not heard yet: " + strings.Join(s.Missed, " ")
+		case len(step.Without) > 0:
+			text = strings.TrimSpace(text + " without " + strings.Join(step.Without, " "))
+		}
+		number := ""
+		if step.Number > 0 {
+			number = strconv.FormatUint(step.Number, 10)
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\n", step.Machine, step.State, number, text)
+	}
+	t.Flush()
+	if h := s.Plan.HandOver; h != nil {
+		fmt.Fprintf(out, "%s is to take over from %s, %d\n", h.To, h.From, h.Number)
+	}
+}
+
+func (o *operator) history(asJSON bool) error {
+	r, err := o.record()
+	if err != nil {
+		return err
+	}
+	if asJSON {
+		return json.NewEncoder(o.out).Encode(r.History)
+	}
+	for _, e := range r.History {
+		fmt.Fprintln(o.out, strings.TrimSpace(fmt.Sprintf("%s %s: %s %s", time.UnixMilli(e.At).UTC().Format("2006-01-02 15:04:05.000"), e.By, e.Machine, e.What)))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/works/lead.go
@@ -0,0 +1,401 @@
+package works
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Seen is what the leader sees now.
+type Seen struct {
+	Look
+	Lives map[string]uint64        // of the poolers in the fleet's view that live or went without a word, with their incarnation
+	Live  []string                 // ... of them that live
+	Left  map[string]uint64        // those that left by their own word
+	Heard map[string]time.Duration // last evidence of each database, on this pooler's clock
+}
+
+// Manner is how work is done here.
+type Manner struct {
+	Self      Life
+	Hook      bool          // does the work; otherwise a person says when it begins and ends
+	HandsOver bool          // a hook lets a replica take over; otherwise a person does
+	Calls     int           // of a hook that fails, or whose caller is gone, at the most
+	Lease     time.Duration // at the least; poolers say their own
+	Skew      time.Duration // two clocks run apart by this in a lease, at the most
+	Settle    time.Duration // a machine that is back has been seen well for so long
+}
+
+// Call is one of a hook. It has the same number each time it is made for the same work.
+type Call struct {
+	Machine string // or the primary that hands over
+	To      string // who takes over; empty: it is work
+	Number  uint64
+}
+
+// Leader takes a plan through, look by look. It holds what only this pooler knows: since when it has seen what, on its own clock, as
+// no other's can be compared. A new leader begins with nothing and waits anew.
+type Leader struct {
+	manner Manner
+	seen   map[string]sight // by machine
+}
+
+type sight struct {
+	number uint64
+	state  State
+	at     time.Duration
+	well   time.Duration // since when it has been seen well, without a break; 0: it is not
+}
+
+// NewLeader returns one that has seen nothing yet.
+func NewLeader(m Manner) *Leader { return &Leader{manner: m, seen: map[string]sight{}} }
+
+// evidence that is older is asked for.
+const evidence = 2 * time.Second
+
+// Lead decides what to do next. Wall is the Unix time, to be shown.
+func (l *Leader) Lead(now, wall time.Duration, r Record, s Seen) (o Orders) {
+	me := l.manner.Self.Name
+	for _, name := range slices.Sorted(maps.Keys(r.Words)) {
+		if _, lives := s.Lives[name]; !lives && s.Left[name] >= r.Words[name].Incarnation {
+			o.Forget = append(o.Forget, name)
+		}
+	}
+	if !r.Plan.Active() {
+		clear(l.seen)
+		return o
+	}
+	plan := r.Plan
+	all := fleet(r, s, o.Forget)
+	c := &course{now: now, rules: l.rules(r)}
+	at := map[string]State{}
+	for _, step := range r.Course() {
+		c.step, c.fleet = step, all
+		last := l.see(now, step, s)
+		c.step.Since = last.at // against another leader's clock: counted from when this one saw it
+		if why, changed := l.further(c, &plan, last, r, s, &o); changed {
+			o.put(me, wall, step.State, c.step, why)
+		}
+		at[step.Machine] = c.step.State
+	}
+	l.handOver(&plan, s, &o, wall)
+	if len(o.Steps) == 0 { // one thing after the other, each on what was agreed before
+		l.next(c, &plan, at, r, s, &o, wall)
+	}
+	if plan.State != r.Plan.State || plan.Number != r.Plan.Number || plan.HandOver != r.Plan.HandOver {
+		o.Plan = &plan
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.Heard)) {
+		if now-s.Heard[name] > evidence && !at[name].Barred() {
+			o.Ask = append(o.Ask, name)
+		}
+	}
+	return o
+}
+
+// next takes, hands over or asks back what the planner names.
+func (l *Leader) next(c *course, plan *Plan, at map[string]State, r Record, s Seen, o *Orders, wall time.Duration) {
+	me := l.manner.Self.Name
+	out := slices.ContainsFunc(plan.Wish.Machines, func(name string) bool { return at[name].Out() })
+	switch d := Next(plan.Wish, at, s.Look); {
+	case d.Complete, plan.State == Aborting && !out:
+		plan.State, plan.Why, plan.HandOver = Over, "", nil
+		o.tell(me, wall, "", 0, "the plan is over")
+	case plan.State != Running:
+	case !plan.Wish.Until.IsZero() && wall > time.Duration(plan.Wish.Until.UnixNano()):
+		plan.State, plan.Why = Paused, "the time for it is over"
+		o.tell(me, wall, "", 0, "%s: %s", plan.State, plan.Why)
+	case d.AskBack != "":
+		c.step = r.step(d.AskBack)
+		if c.on(Event{What: Return}) {
+			o.put(me, wall, at[d.AskBack], c.step, "asked back, as its group has become too small")
+		}
+	case plan.HandOver != nil:
+	case d.HandOver[0] != "":
+		plan.Number++
+		plan.HandOver = &HandOver{From: d.HandOver[0], To: d.HandOver[1], Number: plan.Number}
+		o.tell(me, wall, d.HandOver[0], plan.Number, "%s is to take over", d.HandOver[1])
+	case d.Take != "" && s.Machines[d.Take].Leads:
+		o.Resign = true
+	case d.Take != "":
+		plan.Number++
+		c.step = r.step(d.Take)
+		if next, err := c.step.On(Event{What: Take, Number: plan.Number}, c.now, c.fleet, c.rules); err == nil {
+			next.Life = s.Machines[d.Take].Life
+			o.put(me, wall, at[d.Take], next, "")
+		}
+	}
+}
+
+// fleet are the poolers that could send to a machine: all that have ever said something in the record and have not left, whether
+// the fleet's view still knows them or not, and all that this view knows.
+func fleet(r Record, s Seen, left []string) Fleet {
+	f := Fleet{Lives: map[string]uint64{}, Read: map[string]uint64{}}
+	maps.Copy(f.Lives, s.Lives)
+	for name, word := range r.Words {
+		if slices.Contains(left, name) {
+			continue
+		}
+		f.Lives[name] = max(f.Lives[name], word.Incarnation)
+		if word.Plan == r.Plan.ID {
+			f.Read[name] = word.Incarnation
+		}
+	}
+	return f
+}
+
+// rules are those that bind all poolers: the longest lease of any.
+func (l *Leader) rules(r Record) Rules {
+	lease := l.manner.Lease
+	for _, word := range r.Words {
+		lease = max(lease, time.Duration(word.LeaseMS)*time.Millisecond)
+	}
+	return Rules{Lease: lease, Skew: l.manner.Skew, GoOn: r.Plan.Wish.GoOn, Calls: l.manner.Calls}
+}
+
+// see keeps since when a step is as it is, and its machine is well.
+func (l *Leader) see(now time.Duration, step Step, s Seen) sight {
+	last := l.seen[step.Machine]
+	if last.number != step.Number || last.state != step.State {
+		last = sight{number: step.Number, state: step.State, at: now}
+	}
+	m := s.Machines[step.Machine]
+	if well := m != nil && m.ready() && (m.Kind == Pooler && m.Life > step.Life || m.Kind == Database && s.Heard[m.Name] > last.at); !well {
+		last.well = 0
+	} else if last.well == 0 {
+		last.well = now
+	}
+	l.seen[step.Machine] = last
+	return last
+}
+
+// course is a step that events befall.
+type course struct {
+	step  Step
+	now   time.Duration
+	fleet Fleet
+	rules Rules
+}
+
+// on lets the step take in an event of its present try, and tells whether it fitted.
+func (c *course) on(e Event) bool {
+	e.Number = c.step.Number
+	next, err := c.step.On(e, c.now, c.fleet, c.rules)
+	if err == nil {
+		c.step = next
+	}
+	return err == nil
+}
+
+// further takes one step further, and tells whether anything has changed.
+func (l *Leader) further(c *course, plan *Plan, last sight, r Record, s Seen, o *Orders) (why string, changed bool) {
+	name := c.step.Machine
+	if plan.State == Aborting && c.on(Event{What: Abort}) {
+		return "given up by the operators", true
+	}
+	switch m := s.Machines[name]; c.step.State {
+	case Agreed:
+		if m != nil && m.Kind == Pooler { // poolers do not send to it
+			c.fleet = Fleet{}
+		}
+		for _, pooler := range slices.Sorted(maps.Keys(r.Words)) {
+			word := r.Words[pooler]
+			if word.Stopped[name] == c.step.Number && c.step.Stopped[pooler] < word.Incarnation && c.on(Event{What: Said, Life: Life{pooler, word.Incarnation}}) {
+				changed = true
+			}
+		}
+		c.on(Event{What: Check})
+		if c.step.State != Free {
+			return "", changed
+		}
+		if len(c.step.Without) > 0 {
+			why = fmt.Sprintf("without the word of %v, whose lease has run out", c.step.Without)
+		}
+		return why, true
+	case Free:
+		if !l.manner.Hook || plan.State != Running || !c.on(Event{What: HookCall, Life: l.manner.Self}) {
+			return "", false
+		}
+	case AtWork: // Whoever calls the hook writes how it ended; who is gone does not.
+		if !l.manner.Hook || c.step.By == (Life{}) || alive(c.step.By, s) || !c.on(Event{What: HookCall, Life: l.manner.Self}) {
+			return "", false
+		}
+		o.Calls = append(o.Calls, Call{Machine: name, Number: c.step.Number})
+		return "", true
+	case Back:
+		return "", last.well > 0 && c.now-last.well >= l.manner.Settle && c.on(Event{What: Ready})
+	default:
+		return "", false
+	}
+	o.Calls = append(o.Calls, Call{Machine: name, Number: c.step.Number})
+	return "", true
+}
+
+// alive tells whether a life of a pooler is not over, as far as can be seen.
+func alive(l Life, s Seen) bool {
+	return s.Lives[l.Name] <= l.Incarnation && slices.Contains(s.Live, l.Name)
+}
+
+// handOver lets a replica take over from a primary that is next.
+func (l *Leader) handOver(plan *Plan, s Seen, o *Orders, wall time.Duration) {
+	h := plan.HandOver
+	if h == nil {
+		return
+	}
+	switch to, from := s.Machines[h.To], s.Machines[h.From]; {
+	case to != nil && to.Primary && (from == nil || !from.Primary):
+		plan.HandOver = nil
+		o.tell(l.manner.Self.Name, wall, h.From, h.Number, "%s has taken over", h.To)
+	case plan.State == Aborting || to == nil || !to.ready():
+		plan.HandOver = nil
+		o.tell(l.manner.Self.Name, wall, h.From, h.Number, "%s does not take over", h.To)
+	case l.manner.HandsOver && plan.State == Running && h.Hooks < max(1, l.manner.Calls) && (h.By == Life{} || !alive(h.By, s)):
+		plan.HandOver = &HandOver{From: h.From, To: h.To, Number: h.Number, Hooks: h.Hooks + 1, By: l.manner.Self}
+		o.Calls = append(o.Calls, Call{Machine: h.From, To: h.To, Number: h.Number})
+	}
+}
+
+// Ended is what the pooler that called a hook writes when the call has ended, for a reason if it failed: nobody else knows. It is
+// called again if Calls says so. A call of a try that is over changes nothing.
+func (m Manner) Ended(now, wall time.Duration, r Record, call Call, failed string) (o Orders) {
+	plan, me := r.Plan, m.Self.Name
+	stop := func(text string) {
+		if plan.State == Running { // nothing further while nobody knows what has become of it
+			plan.State, plan.Why, o.Plan = Paused, text, &plan
+		}
+		o.tell(me, wall, call.Machine, call.Number, "%s", text)
+	}
+	if call.To != "" {
+		h := plan.HandOver
+		switch {
+		case h == nil || h.Number != call.Number || h.By != m.Self || failed == "": // that it is done shows by itself
+		case h.Hooks < max(1, m.Calls):
+			plan.HandOver, o.Plan = &HandOver{From: h.From, To: h.To, Number: h.Number, Hooks: h.Hooks + 1, By: m.Self}, &plan
+			o.Calls = append(o.Calls, call)
+		default:
+			plan.HandOver, o.Plan = nil, &plan
+			stop(fmt.Sprintf("%s did not take over from %s: %s", h.To, h.From, failed))
+		}
+		return o
+	}
+	c := &course{step: r.step(call.Machine), now: now, rules: Rules{Calls: m.Calls}}
+	if c.step.Number != call.Number || c.step.By != m.Self {
+		return o
+	}
+	before := c.step.State
+	switch {
+	case failed != "" && c.step.State == AtWork && c.on(Event{What: HookCall, Life: m.Self}):
+		o.Calls = append(o.Calls, call)
+		o.put(me, wall, before, c.step, "")
+		o.tell(me, wall, call.Machine, call.Number, "called again, as the work failed: %s", failed)
+	case c.on(Event{What: HookOver, OK: failed == ""}):
+		o.put(me, wall, before, c.step, failed)
+		if failed != "" {
+			stop(fmt.Sprintf("the work on %s failed: %s", call.Machine, failed))
+		}
+	}
+	return o
+}
+
+// ---- What operators may do
+
+// Start hands in a plan. Its machines are ordered as the dry run has them.
+func Start(wall time.Duration, r Record, id, by string, w Wish, look Look) (o Orders, err error) {
+	if r.Plan.ID == id { // a repeated call
+		return o, nil
+	}
+	if r.Plan.Active() {
+		return o, fmt.Errorf("plan %s is %s: abort it first, or wait for its end", r.Plan.ID, r.Plan.State)
+	}
+	if err := w.Check(look.Machines); err != nil {
+		return o, err
+	}
+	order, err := Dry(w, look)
+	if err != nil {
+		return o, err
+	}
+	w.Machines = nil
+	o.Steps = map[string]Step{}
+	for _, stage := range order {
+		w.Machines = append(w.Machines, stage.Machine)
+		o.Steps[stage.Machine] = Step{Machine: stage.Machine}
+	}
+	for name := range r.Steps {
+		if _, again := o.Steps[name]; !again {
+			o.Drop = append(o.Drop, name)
+		}
+	}
+	o.Plan = &Plan{ID: id, Wish: w, State: Running, Number: r.Plan.Number}
+	o.tell(by, wall, "", 0, "plan %s of %d machines", id, len(order))
+	return o, nil
+}
+
+// Verb is what operators may do about a plan or one machine of it.
+type Verb string
+
+const (
+	Pause  Verb = "pause"
+	Resume Verb = "resume"
+	GiveUp Verb = "abort"
+	Pass   Verb = "skip"   // a machine that waits
+	Begin  Verb = "begin"  // a person works on a machine that is free
+	End    Verb = "end"    // the work is over
+	Forget Verb = "forget" // a pooler that is gone for good, and never left
+)
+
+// OfMachine tells whether the verb wants the name of a machine, or of a pooler.
+func (v Verb) OfMachine() bool { return slices.Contains([]Verb{Pass, Begin, End, Forget}, v) }
+
+// Do is what an operator wants to do; an error says why it cannot be done.
+func Do(wall time.Duration, r Record, v Verb, name, by string) (o Orders, err error) {
+	if v == Forget {
+		if _, known := r.Words[name]; !known {
+			return o, fmt.Errorf("no pooler %q has said anything", name)
+		}
+		o.Forget = []string{name}
+		o.tell(by, wall, name, 0, "forgotten: it is gone for good")
+		return o, nil
+	}
+	if !r.Plan.Active() {
+		return o, fmt.Errorf("there is no plan")
+	}
+	if !v.OfMachine() {
+		plan := r.Plan
+		switch {
+		case v == Pause && plan.State == Running:
+			plan.State, plan.Why = Paused, "by "+by
+		case v == Resume && plan.State == Paused:
+			plan.State, plan.Why = Running, ""
+		case v == GiveUp && plan.State != Aborting:
+			plan.State, plan.Why = Aborting, "by "+by
+		default:
+			return o, fmt.Errorf("the plan is %s", plan.State)
+		}
+		o.Plan = &plan
+		o.tell(by, wall, "", 0, "%s", plan.State)
+		return o, nil
+	}
+	if !slices.Contains(r.Plan.Wish.Machines, name) {
+		return o, fmt.Errorf("the plan has no machine %q", name)
+	}
+	c := &course{step: r.step(name), now: wall, rules: Rules{Calls: 1 << 30}} // a person may say what no count of calls lets a hook do
+	before := c.step.State
+	done := false
+	switch v {
+	case Pass:
+		done = c.on(Event{What: Skip})
+	case Begin:
+		done = before == Free && c.on(Event{What: HookCall})
+	case End:
+		if before == Free {
+			c.on(Event{What: HookCall})
+		}
+		done = c.on(Event{What: HookOver, OK: true})
+	}
+	if !done {
+		return o, fmt.Errorf("%s is %s", name, before)
+	}
+	o.put(by, wall, before, c.step, "")
+	return o, nil
+}
--- a/internal/works/model_test.go
+++ b/internal/works/model_test.go
@@ -34,6 +34,7 @@
 	life    uint64
 	reader  *Reader
 	out     bool // a request is out at the machine
+	blind   bool // ... which was sent in the one case that is counted
 	pending *answer
 }
 
@@ -55,23 +56,26 @@
 // made is what the poolers and the record do; planted faults change it.
 type made struct {
 	on   func(Step, Event, time.Duration, Fleet, Rules) (Step, error)
-	may  func(*Reader, time.Duration) bool
+	may  func(*Reader, time.Duration) (may, blind bool)
 	read func(r *Reader, asked, now time.Duration, s Step)
 }
 
 var sound = made{
 	on:   func(s Step, e Event, now time.Duration, f Fleet, r Rules) (Step, error) { return s.On(e, now, f, r) },
-	may:  func(r *Reader, now time.Duration) bool { return r.May(now, "m", []string{"other"}) },
-	read: func(r *Reader, asked, _ time.Duration, s Step) { r.Read(asked, []Step{s}) },
+	may:  func(r *Reader, now time.Duration) (bool, bool) { return r.May(now, "m", []string{"other"}) },
+	read: func(r *Reader, asked, _ time.Duration, s Step) { r.Read(asked, revision(s), []Step{s}) },
 }
 
+// revision is of a record that holds one step: its states come in order, within a number and from one to the next.
+func revision(s Step) uint64 { return s.Number*100 + uint64(s.State) }
+
 func actorName(i int) string { return string(rune('a' + i)) }
 
 func begin(l spend) *worldState {
 	w := &worldState{now: 10 * tick, step: Step{Machine: "m"}, lives: map[string]uint64{}, called: map[uint64]int{}, left: l, actors: make([]actor, l.poolers)}
 	for i := range w.actors {
 		r := NewReader(w.now, modelRules)
-		r.Read(w.now, []Step{w.step})
+		r.Read(w.now, revision(w.step), []Step{w.step})
 		w.actors[i] = actor{up: true, life: 1, reader: r}
 		w.lives[actorName(i)] = 1
 	}
@@ -103,7 +107,7 @@
 		var b strings.Builder
 		fmt.Fprint(&b, a.up, a.life, a.out, w.lives[name], w.freed[name], w.step.Stopped[name], slices.Contains(w.step.Without, name))
 		if r := a.reader; r != nil {
-			fmt.Fprint(&b, " ", r.known, min(w.now-r.read, 3*tick), min(w.now-r.began, 3*tick), r.Blind > 0, r.steps["m"].State, r.steps["m"].Number)
+			fmt.Fprint(&b, " ", r.known, min(w.now-r.read, 3*tick), min(w.now-r.began, 3*tick), a.blind, r.steps["m"].State, r.steps["m"].Number)
 		}
 		if a.pending != nil {
 			fmt.Fprint(&b, " asked ", w.now-a.pending.asked, a.pending.step.State, a.pending.step.Number)
@@ -220,9 +224,9 @@
 			add(c)
 		} else if w.left.sends > 0 {
 			c := w.clone("%s sends", name)
-			if m.may(c.actors[i].reader, w.now) {
+			if may, blind := m.may(c.actors[i].reader, w.now); may {
 				c.left.sends--
-				c.actors[i].out = true
+				c.actors[i].out, c.actors[i].blind = true, blind
 				add(c)
 			}
 		}
@@ -248,7 +252,7 @@
 	at := w.step.State == Free || w.step.State == AtWork
 	for i, a := range w.actors {
 		// The one case that is counted: it began anew where nobody knew, and finds no record.
-		if at && a.out && a.reader.Blind > 0 && w.freed[actorName(i)] != a.life {
+		if at && a.out && a.blind && w.freed[actorName(i)] != a.life {
 			continue
 		}
 		if at && a.out && !before.actors[i].out {
@@ -340,13 +344,16 @@
 			}
 		}},
 		"the lease counts from the answer": {"an answer that is late", func(m *made) {
-			m.read = func(r *Reader, _, now time.Duration, s Step) { r.Read(now, []Step{s}) }
+			m.read = func(r *Reader, _, now time.Duration, s Step) { r.Read(now, revision(s), []Step{s}) }
 		}},
 		"the lease does not bind": {"a pooler that is cut off", func(m *made) {
-			m.may = func(r *Reader, now time.Duration) bool { return r.May(r.read, "m", []string{"other"}) }
+			m.may = func(r *Reader, now time.Duration) (bool, bool) { return r.May(r.read, "m", []string{"other"}) }
 		}},
 		"one that begins does not read first": {"a crash and a restart", func(m *made) {
-			m.may = func(r *Reader, now time.Duration) bool { return !r.known || r.May(now, "m", []string{"other"}) }
+			m.may = func(r *Reader, now time.Duration) (bool, bool) {
+				may, blind := r.May(now, "m", []string{"other"})
+				return !r.known || may, blind
+			}
 		}},
 		"a pooler that has not read the plan is left behind": {"a crash and a restart", func(m *made) {
 			m.on = func(s Step, e Event, now time.Duration, f Fleet, r Rules) (Step, error) {
--- a/internal/works/plan.go
+++ b/internal/works/plan.go
@@ -8,6 +8,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 )
 
 // Kind is what a machine is.
@@ -20,17 +21,18 @@
 
 // Machine is one that may be taken out, as it is seen now by enough poolers.
 type Machine struct {
-	Name    string
-	Kind    Kind
-	Group   int // of a database
-	Zone    string
-	Size    float64 // what it can do when warm, in the unit of the load
-	Up      bool    // it is seen well
-	Warm    bool
-	Fresh   bool // a replica: near enough to its primary to serve every class, and to take over
-	Primary bool // of a database
-	Leads   bool // of a pooler: the record's leader
-	Cut     bool // its zone cannot be reached: what is seen of it says nothing
+	Name    string  `json:"name"`
+	Kind    Kind    `json:"kind"`
+	Group   int     `json:"group"` // of a database
+	Zone    string  `json:"zone,omitempty"`
+	Size    float64 `json:"size"` // what it can do when warm, in the unit of the load
+	Up      bool    `json:"up"`   // it is seen well
+	Warm    bool    `json:"warm"`
+	Fresh   bool    `json:"fresh,omitempty"`   // a replica: near enough to its primary to serve every class, and to take over
+	Primary bool    `json:"primary,omitempty"` // of a database
+	Leads   bool    `json:"leads,omitempty"`   // of a pooler: the record's leader
+	Cut     bool    `json:"cut,omitempty"`     // its zone cannot be reached: what is seen of it says nothing
+	Life    uint64  `json:"life,omitempty"`    // of a pooler: its present incarnation
 }
 
 // ready tells whether the machine does all that it is there for.
@@ -40,11 +42,16 @@
 
 // Wish is what operators hand in.
 type Wish struct {
-	Machines []string // in the order in which they would have them, all else being equal
+	Machines []string `toml:"machines" json:"machines"` // in the order in which they would have them, all else being equal
 	// Most are out at once, those that died by themselves among them; 0: one.
-	PerGroup, PerZone, InAll int
-	Margin                   float64 // share of what is left that must stay free, such as 0.2
-	Fresh                    int     // replicas that keep up and are left in each group, at the least
+	PerGroup int       `toml:"per_group" json:"per_group,omitempty"`
+	PerZone  int       `toml:"per_zone" json:"per_zone,omitempty"`
+	InAll    int       `toml:"in_all" json:"in_all,omitempty"`
+	Margin   float64   `toml:"margin" json:"margin,omitempty"` // share of what is left that must stay free, such as 0.2
+	Fresh    int       `toml:"fresh" json:"fresh,omitempty"`   // replicas that keep up and are left in each group, at the least
+	Bears    float64   `toml:"bears" json:"bears,omitempty"`   // requests a second that one database can do; 0: load is not looked at
+	Until    time.Time `toml:"until" json:"until,omitzero"`    // nothing further is taken after this; zero: no end
+	GoOn     bool      `toml:"go_on" json:"go_on,omitempty"`   // without poolers that are not heard, once their lease must have run out
 }
 
 // Check finds what is wrong with a wish. Machines are those that are known.
@@ -67,6 +74,9 @@
 			return fmt.Errorf("%s: %d is under 0", key, n)
 		}
 	}
+	if !(w.Bears >= 0) {
+		return fmt.Errorf("bears: %v is under 0", w.Bears)
+	}
 	if !(w.Margin >= 0 && w.Margin < 1) {
 		return fmt.Errorf("margin: %v is no share under 1", w.Margin)
 	}
@@ -75,8 +85,8 @@
 
 // Look is what is known now.
 type Look struct {
-	Machines map[string]*Machine
-	Load     map[int]float64 // of each group: what is expected for the time of the work, at the least what is asked now
+	Machines map[string]*Machine `json:"machines"`
+	Load     map[int]float64     `json:"load"` // of each group: what is expected for the time of the work, at the least what is asked now
 }
 
 // Decision is what may be done next. The zero value is nothing.
--- a/internal/works/reader.go
+++ b/internal/works/reader.go
@@ -8,26 +8,32 @@
 // Reader is a pooler's part: where it may send, by what it has read of the record. It knows its own lease alone, and asks nobody on a
 // request's path.
 type Reader struct {
-	Blind int64 // times it was asked about a group in which every machine could be at work
-
-	rules  Rules
-	began  time.Duration
-	read   time.Duration
-	known  bool // it has read since it began
-	steps  map[string]Step
-	listed []string // machines of the plan that are not over, in its order
+	rules    Rules
+	began    time.Duration
+	read     time.Duration
+	known    bool   // it has read since it began
+	revision uint64 // of the newest that it has heard of
+	steps    map[string]Step
+	listed   []string // machines of the plan that are not over, in its order
 }
 
 // NewReader returns the reader of a pooler that has just begun, with nothing in mind.
 func NewReader(now time.Duration, r Rules) *Reader { return &Reader{rules: r, began: now} }
 
-// Read takes in the record as it was at a time, not later than now. The lease counts from when the read was asked for: what has been
-// agreed since is not in it.
-func (p *Reader) Read(asked time.Duration, steps []Step) {
-	if p.known && asked < p.read { // Against answers that overtake each other.
+// Read takes in the record as a majority held it at a moment after it was asked for. The lease counts from when that was: what has been
+// agreed since is not in it. Steps are in the order of the plan.
+func (p *Reader) Read(asked time.Duration, revision uint64, steps []Step) {
+	p.read = max(p.read, asked)
+	p.known = true
+	p.Heard(revision, steps)
+}
+
+// Heard takes in what has been agreed up to a revision. It renews no lease: more may have been agreed since.
+func (p *Reader) Heard(revision uint64, steps []Step) {
+	if revision < p.revision { // Against answers that overtake each other.
 		return
 	}
-	p.read, p.known = asked, true
+	p.revision = revision
 	p.steps, p.listed = map[string]Step{}, nil
 	for _, s := range steps {
 		p.steps[s.Machine] = s
@@ -37,37 +43,43 @@
 	}
 }
 
-// May tells whether anything new may be sent to a machine. The others are those of its group that could serve in its place.
+// Known tells whether the record has been read.
+func (p *Reader) Known() bool { return p.known }
+
+// Lapses is when the lease runs out, if nothing is read before.
+func (p *Reader) Lapses() time.Duration {
+	if !p.known {
+		return p.began + p.rules.Lease
+	}
+	return p.read + p.rules.Lease
+}
+
+// May tells whether anything new may be sent to a machine. The others are those of its group that could serve in its place. Blind tells
+// that this is the one case in which a request can reach a machine at work.
 //
 // While the lease holds it may, unless the machine is barred. Once it has run out, anything that the plan still lists could be at work:
 // it may send to what is not listed. Where all of a group are listed, and at a start that finds no record, something has to
-// serve all the same: the one that the plan takes last, or any if none was read; that is counted, as it is the one case in which
-// a request can reach a machine at work.
-func (p *Reader) May(now time.Duration, machine string, others []string) bool {
-	if p.known && p.steps[machine].State.Barred() {
-		return false
-	}
-	if p.known && now-p.read < p.rules.Lease {
-		return true
-	}
-	if !p.known {
-		if now-p.began < p.rules.Lease { // it will be read in a moment
-			return false
-		}
-		p.Blind++
-		return true
+// serve all the same: of those not known to be barred the one that the plan takes last, or any if none was read; that is blind.
+func (p *Reader) May(now time.Duration, machine string, others []string) (may, blind bool) {
+	barred := func(name string) bool { return p.steps[name].State.Barred() }
+	switch {
+	case barred(machine):
+		return false, false
+	case now < p.Lapses():
+		return p.known, false // or else it will be read in a moment
+	case !p.known:
+		return true, true
 	}
 	place := slices.Index(p.listed, machine)
 	if place < 0 {
-		return true
+		return true, false
 	}
 	for _, other := range others {
-		if k := slices.Index(p.listed, other); k < 0 || k > place {
-			return false
+		if k := slices.Index(p.listed, other); k < 0 || k > place && !barred(other) {
+			return false, false
 		}
 	}
-	p.Blind++
-	return true
+	return true, true
 }
 
 // Stopped are the tries for which this pooler is to say that it has stopped: those agreed on machines where it has nothing out any
--- /dev/null
+++ b/internal/works/record.go
@@ -0,0 +1,202 @@
+package works
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Plan is what operators have handed in, as it stands in the record.
+type Plan struct {
+	ID       string    `json:"id"`   // of the request that handed it in
+	Wish     Wish      `json:"wish"` // its machines in the order of the dry run
+	State    PlanState `json:"state"`
+	Why      string    `json:"why,omitempty"` // of the state
+	Number   uint64    `json:"number"`        // the last that was given to a try, or to a hand-over, over all plans
+	HandOver *HandOver `json:"hand_over,omitempty"`
+}
+
+// HandOver is of a primary that is next, under way.
+type HandOver struct {
+	From   string `json:"from"`
+	To     string `json:"to"`
+	Number uint64 `json:"number"`
+	Hooks  int    `json:"hooks,omitempty"` // times the hook has been called
+	By     Life   `json:"by,omitzero"`     // who called it last; the zero value: nobody yet, or a person does it
+}
+
+// PlanState is how far a plan is.
+type PlanState string
+
+const (
+	Running  PlanState = "running"
+	Paused   PlanState = "paused"   // nothing further is taken; what is out comes back
+	Aborting PlanState = "aborting" // what is not at work yet is put back
+	Over     PlanState = "over"
+)
+
+// Active tells whether there is a plan that is not over.
+func (p *Plan) Active() bool { return p.ID != "" && p.State != Over }
+
+// Word is what a pooler says of itself in the record. It stands there until the pooler leaves: one that is not heard is known by it.
+type Word struct {
+	Incarnation uint64            `json:"incarnation"`
+	Plan        string            `json:"plan"`     // the last that it has read
+	LeaseMS     int64             `json:"lease_ms"` // its own
+	Stopped     map[string]uint64 `json:"stopped,omitempty"`
+}
+
+// Entry is a line of the history.
+type Entry struct {
+	At      int64  `json:"at_ms"` // Unix, on the clock of who wrote it
+	By      string `json:"by"`
+	Machine string `json:"machine,omitempty"`
+	Number  uint64 `json:"number,omitempty"`
+	What    string `json:"what"`
+}
+
+// Keys of the record. What poolers have to follow stands under one name.
+const (
+	Now        = "works/now/" // all that poolers follow
+	All        = "works/"
+	keyPlan    = Now + "plan"
+	keyStep    = Now + "step/" // of each machine
+	keyWord    = "works/said/" // of each pooler
+	keyHistory = "works/history"
+
+	machinesMost = 400 // of a plan: the record has room for so many steps
+	historyMost  = 200 // entries that are kept
+)
+
+// WordKey is where a pooler's word stands.
+func WordKey(pooler string) string { return keyWord + pooler }
+
+// Record is what is agreed, as read at one moment.
+type Record struct {
+	Plan    Plan
+	Steps   map[string]Step
+	Words   map[string]Word
+	History []Entry
+
+	revisions map[string]uint64
+}
+
+// Parse reads values of the record: the plan and its steps, and what else of the works is among them. A value that cannot be read
+// is an error, as of another version.
+func Parse(values map[string]json.RawMessage, revisions map[string]uint64) (r Record, err error) {
+	r = Record{Steps: map[string]Step{}, Words: map[string]Word{}, revisions: revisions}
+	for key, text := range values {
+		var e error
+		switch {
+		case key == keyPlan:
+			e = json.Unmarshal(text, &r.Plan)
+		case key == keyHistory:
+			e = json.Unmarshal(text, &r.History)
+		case strings.HasPrefix(key, keyStep):
+			var s Step
+			e = json.Unmarshal(text, &s)
+			r.Steps[strings.TrimPrefix(key, keyStep)] = s
+		case strings.HasPrefix(key, keyWord):
+			var w Word
+			e = json.Unmarshal(text, &w)
+			r.Words[strings.TrimPrefix(key, keyWord)] = w
+		}
+		if e != nil {
+			return r, fmt.Errorf("%s: %w", key, e)
+		}
+	}
+	return r, nil
+}
+
+// Course are the steps of the plan, in its order.
+func (r *Record) Course() (steps []Step) {
+	for _, name := range r.Plan.Wish.Machines {
+		steps = append(steps, r.step(name))
+	}
+	return steps
+}
+
+func (r *Record) step(name string) Step {
+	s, known := r.Steps[name]
+	if !known {
+		s = Step{Machine: name}
+	}
+	return s
+}
+
+// States is how far each machine is.
+func (r *Record) States() map[string]State {
+	at := map[string]State{}
+	for _, s := range r.Course() {
+		at[s.Machine] = s.State
+	}
+	return at
+}
+
+// Orders are what is to be agreed on, if the record is still as it was read, and to be done once it is.
+type Orders struct {
+	Plan    *Plan           // changed
+	Steps   map[string]Step // changed
+	Drop    []string        // machines whose steps are of a plan before
+	Forget  []string        // poolers that left, or that operators know to be gone for good
+	Entries []Entry
+	Calls   []Call   // hooks
+	Resign  bool     // another is to lead the record, as this pooler is next
+	Ask     []string // databases of which nothing has been heard of late
+}
+
+// Change is the change of the record: what is set, what is deleted, and at which revisions the keys must still be. Nothing is to be
+// changed where set and deleted are empty. The plan is always a condition: operators and leaders change it one after the other.
+func (o *Orders) Change(r Record) (on map[string]uint64, set map[string]json.RawMessage, deleted []string) {
+	if o.Plan == nil && len(o.Steps)+len(o.Drop)+len(o.Forget) == 0 {
+		return nil, nil, nil
+	}
+	on, set = map[string]uint64{keyPlan: r.revisions[keyPlan]}, map[string]json.RawMessage{}
+	put := func(key string, value any) {
+		text, err := json.Marshal(value)
+		if err != nil {
+			panic(err) // a fault of this program: there is nothing in it that cannot be written
+		}
+		on[key], set[key] = r.revisions[key], text
+	}
+	if o.Plan != nil {
+		put(keyPlan, o.Plan)
+	}
+	for name, s := range o.Steps {
+		put(keyStep+name, s)
+	}
+	for _, name := range o.Drop {
+		on[keyStep+name] = r.revisions[keyStep+name]
+		deleted = append(deleted, keyStep+name)
+	}
+	for _, name := range o.Forget {
+		on[WordKey(name)] = r.revisions[WordKey(name)]
+		deleted = append(deleted, WordKey(name))
+	}
+	if len(o.Entries) > 0 {
+		history := slices.Concat(r.History, o.Entries)
+		put(keyHistory, history[max(0, len(history)-historyMost):])
+	}
+	return on, set, deleted
+}
+
+func (o *Orders) tell(by string, wall time.Duration, machine string, number uint64, text string, a ...any) {
+	o.Entries = append(o.Entries, Entry{At: wall.Milliseconds(), By: by, Machine: machine, Number: number, What: fmt.Sprintf(text, a...)})
+}
+
+// put adds a changed step, with an entry if its state has changed.
+func (o *Orders) put(by string, wall time.Duration, before State, s Step, why string) {
+	if o.Steps == nil {
+		o.Steps = map[string]Step{}
+	}
+	s.Since = wall
+	o.Steps[s.Machine] = s
+	if s.State != before {
+		if why != "" {
+			why = ": " + why
+		}
+		o.tell(by, wall, s.Machine, s.Number, "%s%s", s.State, why)
+	}
+}
--- a/internal/works/step.go
+++ b/internal/works/step.go
@@ -25,6 +25,17 @@
 
 func (s State) String() string { return stateNames[s] }
 
+func (s State) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+func (s *State) UnmarshalText(text []byte) error {
+	i := slices.Index(stateNames[:], string(text))
+	if i < 0 {
+		return fmt.Errorf("no state of a step: %q", text)
+	}
+	*s = State(i)
+	return nil
+}
+
 // Out tells whether the machine is missing because of the plan.
 func (s State) Out() bool { return s >= Agreed && s <= Back }
 
@@ -36,19 +47,21 @@
 
 // Life is one life of a pooler: what one said before a restart does not bind the next.
 type Life struct {
-	Name        string
-	Incarnation uint64
+	Name        string `json:"name"`
+	Incarnation uint64 `json:"incarnation"`
 }
 
 // Step is the course of one machine, as it stands in the record. It is a value: On returns the next.
 type Step struct {
-	Machine string
-	State   State
-	Number  uint64            // fencing: each try of a step has one of its own, higher than all before
-	Since   time.Duration     // of the state
-	Stopped map[string]uint64 // poolers that have nothing out there and begin nothing, with the incarnation that said so
-	Without []string          // poolers that were not heard, and whose lease has run out
-	Hooks   int               // times the hook has been called for this number; each call has the same id
+	Machine string            `json:"machine"`
+	State   State             `json:"state"`
+	Number  uint64            `json:"number"`            // fencing: each try of a step has one of its own, higher than all before
+	Since   time.Duration     `json:"since_ns"`          // of the state, on the clock of who wrote it
+	Stopped map[string]uint64 `json:"stopped,omitempty"` // poolers that have nothing out there and begin nothing, with the incarnation that said so
+	Without []string          `json:"without,omitempty"` // poolers that were not heard, and whose lease has run out
+	Hooks   int               `json:"hooks,omitempty"`   // times the hook has been called for this number; each call has the same id
+	By      Life              `json:"by,omitzero"`       // who called it last; the zero value: a person does the work
+	Life    uint64            `json:"life,omitempty"`    // of a pooler: the incarnation that was taken out
 }
 
 // Fleet is who could send to a machine, as the record's leader knows.
@@ -69,7 +82,7 @@
 type Event struct {
 	What   What
 	Number uint64 // of the try that it is about
-	Life   Life   // Said
+	Life   Life   // Said: whose word it is; HookCall: who calls
 	OK     bool   // HookOver: the work was done
 }
 
@@ -84,6 +97,7 @@
 	Ready                // the machine is warm, has caught up, and is seen well
 	Skip
 	Abort
+	Return // the group needs the machine: it is put back, and taken anew later
 )
 
 // On takes in an event. An error tells that the event does not fit, as one of an older try or a repeated one; the step stays as it is.
@@ -101,7 +115,7 @@
 		if s.State != Waiting && s.State != Undone && s.State != Skipped || e.Number <= s.Number {
 			return s, odd
 		}
-		s.Number, s.Stopped, s.Without, s.Hooks = e.Number, map[string]uint64{}, nil, 0
+		s.Number, s.Stopped, s.Without, s.Hooks, s.By, s.Life = e.Number, map[string]uint64{}, nil, 0, Life{}, 0
 		return next(Agreed), nil
 	case Said:
 		if s.State != Agreed {
@@ -110,7 +124,9 @@
 		if f.Lives[e.Life.Name] > e.Life.Incarnation { // Against the word of a life that is over.
 			return s, fmt.Errorf("%s: %s has restarted since it said so", s.Machine, e.Life.Name)
 		}
-		s.Stopped = maps.Clone(s.Stopped)
+		if s.Stopped = maps.Clone(s.Stopped); s.Stopped == nil { // as it comes from the record, where an empty one is left out
+			s.Stopped = map[string]uint64{}
+		}
 		s.Stopped[e.Life.Name] = max(s.Stopped[e.Life.Name], e.Life.Incarnation)
 		return s.free(now, f, r), nil
 	case Check:
@@ -125,6 +141,7 @@
 			return s, odd
 		}
 		s.Hooks++
+		s.By = e.Life
 		if s.State == Free {
 			return next(AtWork), nil
 		}
@@ -147,6 +164,11 @@
 			return s, odd
 		}
 		return next(Skipped), nil
+	case Return:
+		if s.State != Agreed && s.State != Free {
+			return s, odd
+		}
+		return next(Waiting), nil
 	case Abort:
 		switch {
 		case s.State == AtWork: // Somebody has the machine open: it comes back when the hook ends, or a person says so.
