--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -391,7 +391,8 @@
 	net.Conn
 	t       *testing.T
 	started bool
-	ahead   []byte // read, but behind the last answer
+	ahead   []byte        // read, but behind the last answer
+	within  time.Duration // an answer is waited for; 0: Patience
 }
 
 // Dial connects and sends nothing.
@@ -449,7 +450,7 @@
 				return r, nil
 			}
 		}
-		c.SetReadDeadline(time.Now().Add(Patience))
+		c.SetReadDeadline(time.Now().Add(cmp.Or(c.within, Patience)))
 		n, err := c.Read(buf)
 		if err != nil {
 			return pg.Reply{}, err
@@ -465,6 +466,24 @@
 	return c.Next()
 }
 
+// Try asks on a connection of its own, and tells whether an answer came. It may be called from any goroutine, also while the program
+// does not run.
+func (b *Bed) Try(sql string, within time.Duration) (r pg.Reply, answered bool) {
+	conn, err := net.DialTimeout("tcp", b.Addr, within)
+	if err != nil {
+		return r, false
+	}
+	defer conn.Close()
+	c := &Client{Conn: conn, t: b.T, within: within}
+	c.Write(pg.AppendStartup(nil, "client", "core"))
+	if r, err = c.next(); err != nil || r.Code != "" {
+		return r, err == nil
+	}
+	c.Write(pg.AppendQuery(nil, sql))
+	r, err = c.next()
+	return r, err == nil
+}
+
 // AskAnew asks on a new connection, and once more on another if the program closes the first, as one that ends may between
 // requests.
 func (b *Bed) AskAnew(sql string) pg.Reply {
--- a/internal/works/driver/driver.go
+++ b/internal/works/driver/driver.go
@@ -282,9 +282,13 @@
 		}
 	}
 	active, plan := d.record.Plan.Active(), d.record.Plan.ID
-	if lapsed := active && now >= lapses; lapsed != d.lapsed.Load() {
+	if lapsed := (active || off.All) && now >= lapses; lapsed != d.lapsed.Load() {
 		d.lapsed.Store(lapsed)
-		d.pooler.Log.Warn().Bool("lapsed", lapsed).Msg("works: the lease on the record")
+		line := d.pooler.Log.Warn().Bool("lapsed", lapsed)
+		if lapsed && len(off.Blind) > 0 {
+			line = line.Int("blind", len(off.Blind)) // databases
+		}
+		line.Msg("works: the lease on the record")
 	}
 	if !active && d.reader.Known() {
 		off = core.Off{Worn: off.Worn}
--- a/internal/works/driver/process_test.go
+++ b/internal/works/driver/process_test.go
@@ -5,11 +5,17 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
+	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"capercove/internal/rig"
 	"capercove/internal/testbed"
 	"capercove/internal/works"
 	"capercove/internal/works/driver"
@@ -131,6 +137,150 @@
 		r.reaches("n0", name, works.Done)
 	}
 	r.over("n0")
-	out, _ = r.works("n0", "history")
-	fmt.Println(out)
+	out, status = r.works("n0", "history")
+	require.Zero(t, status, out)
+	require.Contains(t, out, "db-1 has taken over")
+}
+
+// hook is a program that writes down when it begins and ends, and holds the machine for a while.
+type hook struct {
+	t    *testing.T
+	path string
+}
+
+func newHook(t *testing.T, seconds string) (h hook, line string) {
+	dir := t.TempDir()
+	h = hook{t, filepath.Join(dir, "calls")}
+	program := filepath.Join(dir, "hook")
+	text := "#!/bin/sh\necho \"$2 $CAPERCOVE_WORK begins $(date +%s%N)\" >> " + h.path + "\nsleep " + seconds +
+		"\necho \"$2 $CAPERCOVE_WORK ends $(date +%s%N)\" >> " + h.path + "\n"
+	require.NoError(t, os.WriteFile(program, []byte(text), 0o700))
+	return h, fmt.Sprintf("hook = [%q]\n", program)
+}
+
+// call is one of the hook; a machine is open from its beginning to its end.
+type call struct {
+	machine  string
+	number   string
+	from, to time.Time // the zero time: it has not ended, or was killed
+}
+
+func (h hook) calls() (all []call) {
+	text, _ := os.ReadFile(h.path)
+	for _, line := range strings.Split(strings.TrimSpace(string(text)), "\n") {
+		f := strings.Fields(line)
+		if len(f) < 4 {
+			continue
+		}
+		ns, err := strconv.ParseInt(f[3], 10, 64)
+		require.NoError(h.t, err)
+		at := time.Unix(0, ns)
+		if f[2] == "begins" {
+			all = append(all, call{machine: f[0], number: f[1], from: at})
+			continue
+		}
+		for i := range all {
+			if all[i].machine == f[0] && all[i].number == f[1] && all[i].to.IsZero() {
+				all[i].to = at
+				break
+			}
+		}
+	}
+	return all
+}
+
+// load asks at all poolers, one read after the other, until it is told to end; the key of each statement is the pooler's name.
+func (r *run) load() (end func()) {
+	var over atomic.Bool
+	var clients sync.WaitGroup
+	for _, name := range r.Names {
+		b := r.Beds[name]
+		clients.Go(func() {
+			for n := 0; !over.Load(); n++ {
+				sql := fmt.Sprintf("SELECT val FROM state WHERE uid = '%s' /* id=%s%08x,c=report,d=1000,cluster=3 */", name, name[1:], n)
+				if _, answered := b.Try(sql, 2*time.Second); !answered {
+					time.Sleep(testbed.Turn) // it is down, or stands still
+				}
+			}
+		})
+	}
+	return func() {
+		over.Store(true)
+		clients.Wait()
+	}
+}
+
+// kept checks, as the databases and the hook saw it, that nothing came to a machine that was open but from poolers that were blind, that
+// no two were open at once, and that the hook had one number for each. It returns how many requests came from blind ones.
+func (r *run) kept(calls []call) (blind int) {
+	numbers := map[string]string{}
+	for i, c := range calls {
+		if c.to.IsZero() {
+			c.to = c.from
+		}
+		if had := numbers[c.machine]; had != "" {
+			require.Equal(r.T, had, c.number, "the hook of %s ran under two numbers", c.machine)
+		}
+		numbers[c.machine] = c.number
+		for _, o := range calls[:i] {
+			overlap := c.machine != o.machine && c.from.Before(o.to) && o.from.Before(c.to)
+			require.False(r.T, overlap, "%s and %s were open at once", c.machine, o.machine)
+		}
+		at := slices.IndexFunc(r.Beds["n0"].Databases, func(d *testbed.Database) bool { return d.ID == c.machine })
+		for _, sql := range r.Beds["n0"].Databases[at].Between(c.from, c.to) {
+			from, _, _ := strings.Cut(strings.SplitAfterN(sql, "'", 2)[1], "'")
+			require.NotEmpty(r.T, r.Beds[from].Line(`"blind":`), "%s sent to %s while it was open: %s", from, c.machine, sql)
+			blind++
+		}
+	}
+	return blind
+}
+
+func seeds(t *testing.T, first, last uint64) (uint64, uint64) {
+	if more := os.Getenv("WORKS_SEEDS"); more != "" { // "20-60"
+		_, err := fmt.Sscanf(more, "%d-%d", &first, &last)
+		require.NoError(t, err)
+	}
+	return first, last
+}
+
+// Poolers are killed, stopped and restarted, and links cut, by a schedule from a seed, while a plan takes three replicas out and clients
+// read at all poolers. Nothing reaches a machine that is open, no two are open at once, and when the faults are over the plan ends.
+func TestSchedules(t *testing.T) {
+	first, last := seeds(t, 0, 1)
+	for seed := first; seed < last; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			h, line := newHook(t, "0.3")
+			r := begin(t, seed, 4, 2, line+"hook_calls = 50\n")
+			r.start("n1", "machines = [\"db-1\", \"db-2\", \"db-3\"]\nfresh = 1\ngo_on = true\n")
+			end := r.load()
+			defer end()
+			for _, step := range rig.Plan(seed, r.Names, 10) {
+				if step.What == rig.Garble { // raft's streams have no checksums
+					continue
+				}
+				r.Do(step)
+				r.passes(4000)
+			}
+			r.Net.Note("the faults are over; %d calls of the hook", len(h.calls()))
+			r.over("n0")
+			end()
+			calls := h.calls()
+			blind := r.kept(calls)
+			t.Logf("seed %d: %d calls of the hook, %d blind requests", seed, len(calls), blind)
+			require.GreaterOrEqual(t, len(calls), 3)
+		})
+	}
+}
+
+// passes waits until the databases have got so many more statements: time in which something could have happened.
+func (r *run) passes(more int) {
+	count := func() (n int) {
+		for _, d := range r.Beds["n0"].Databases {
+			n += len(d.Got())
+		}
+		return n
+	}
+	until := count() + more
+	require.Eventually(r.T, func() bool { return count() >= until }, testbed.FleetPatience, testbed.Turn, "clients are served")
 }
