Test the leader of a plan without processes: two at once, clocks apart, hooks that fail

lead_test.go: the course of a plan with a hook, failures and callers that are gone, hand-overs, what is seen that stops or turns back a step, poolers that are forgotten by the view; and 100 seeds with two that take themselves for the leader on clocks four minutes apart, restarted at any point between reading, writing and calling.

--- /dev/null
+++ b/internal/works/lead_test.go
@@ -0,0 +1,477 @@
+package works
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// paper is a record without processes: values with revisions, changed on conditions.
+type paper struct {
+	revision  uint64
+	values    map[string]json.RawMessage
+	revisions map[string]uint64
+}
+
+func newPaper() *paper {
+	return &paper{values: map[string]json.RawMessage{}, revisions: map[string]uint64{}}
+}
+
+func (p *paper) read(t *testing.T) Record {
+	r, err := Parse(maps.Clone(p.values), maps.Clone(p.revisions))
+	require.NoError(t, err)
+	return r
+}
+
+// write applies orders that were made on a record as it was read; false: it has changed since.
+func (p *paper) write(r Record, o Orders) bool {
+	on, set, deleted := o.Change(r)
+	for key, revision := range on {
+		if p.revisions[key] != revision {
+			return false
+		}
+	}
+	p.revision++
+	for key, value := range set {
+		p.values[key], p.revisions[key] = value, p.revision
+	}
+	for _, key := range deleted {
+		delete(p.values, key)
+		delete(p.revisions, key)
+	}
+	return true
+}
+
+func (p *paper) say(name string, w Word) {
+	text, _ := json.Marshal(w)
+	p.revision++
+	p.values[WordKey(name)], p.revisions[WordKey(name)] = text, p.revision
+}
+
+const sec = time.Second
+
+func manner(name string, life uint64) Manner {
+	return Manner{Self: Life{name, life}, Hook: true, Calls: 1, Lease: 2 * sec, Skew: sec, Settle: 2 * sec}
+}
+
+// view is of a group of databases that are all well, and of poolers with their incarnations.
+func view(now time.Duration, databases int, poolers map[string]uint64) Seen {
+	s := Seen{Look: Look{Machines: groupOf(1, "a", databases), Load: map[int]float64{}}, Lives: maps.Clone(poolers), Heard: map[string]time.Duration{}}
+	for name := range s.Machines {
+		s.Heard[name] = now
+	}
+	s.Live = slices.Sorted(maps.Keys(poolers))
+	for name, life := range poolers {
+		s.Machines[name] = &Machine{Name: name, Kind: Pooler, Zone: name, Size: 1, Up: true, Warm: true, Life: life}
+	}
+	return s
+}
+
+// play is a leader alone, look by look, with poolers that say at once that they have stopped.
+type play struct {
+	t       *testing.T
+	paper   *paper
+	leader  *Leader
+	now     time.Duration
+	poolers map[string]uint64
+	change  func(*Seen) // what is seen otherwise
+	calls   []Call
+}
+
+func newPlay(t *testing.T, m Manner, w Wish) *play {
+	p := &play{t: t, paper: newPaper(), leader: NewLeader(m), now: 1000 * sec, poolers: map[string]uint64{"p": 1, "q": 1}, change: func(*Seen) {}}
+	p.start(w)
+	return p
+}
+
+func (p *play) start(w Wish) {
+	r := p.paper.read(p.t)
+	o, err := Start(p.now, r, fmt.Sprint("plan", p.paper.revision), "ann", w, p.see().Look)
+	require.NoError(p.t, err)
+	require.True(p.t, p.paper.write(r, o))
+}
+
+func (p *play) see() Seen {
+	s := view(p.now, 4, p.poolers)
+	p.change(&s)
+	return s
+}
+
+// look is one look, a second after the one before; the poolers have said by then what they have to.
+func (p *play) look() Orders {
+	p.now += sec
+	r := p.paper.read(p.t)
+	for name, life := range p.poolers {
+		w := Word{Incarnation: life, Plan: r.Plan.ID, Stopped: map[string]uint64{}}
+		for _, s := range r.Course() {
+			if s.State == Agreed {
+				w.Stopped[s.Machine] = s.Number
+			}
+		}
+		p.paper.say(name, w)
+	}
+	r = p.paper.read(p.t)
+	o := p.leader.Lead(p.now, p.now, r, p.see())
+	require.True(p.t, p.paper.write(r, o))
+	p.calls = append(p.calls, o.Calls...)
+	return o
+}
+
+// until looks until a machine has come to a state.
+func (p *play) until(machine string, s State) Step {
+	p.t.Helper()
+	for range 50 {
+		if step := p.paper.read(p.t).Steps[machine]; step.State == s {
+			return step
+		}
+		p.look()
+	}
+	r := p.paper.read(p.t)
+	require.Fail(p.t, "not reached", "%s %s: %v", machine, s, r.Course())
+	return Step{}
+}
+
+func (p *play) ended(c Call, failed string) Orders {
+	r := p.paper.read(p.t)
+	o := p.leader.manner.Ended(p.now, p.now, r, c, failed)
+	require.True(p.t, p.paper.write(r, o))
+	return o
+}
+
+func (p *play) do(v Verb, name string) error {
+	r := p.paper.read(p.t)
+	o, err := Do(p.now, r, v, name, "ann")
+	require.True(p.t, p.paper.write(r, o))
+	return err
+}
+
+func (p *play) plan() Plan { return p.paper.read(p.t).Plan }
+
+// The course of a plan with a hook: one machine after the other, each with a number of its own; the record tells all of it.
+func TestCourse(t *testing.T) {
+	p := newPlay(t, manner("p", 1), Wish{Machines: []string{"a1", "a2"}, Fresh: 1})
+	for i, name := range []string{"a1", "a2"} {
+		p.until(name, AtWork)
+		require.Equal(t, Call{Machine: name, Number: uint64(i + 1)}, p.calls[i])
+		require.Len(t, p.calls, i+1)
+		p.ended(p.calls[i], "")
+		p.until(name, Done)
+	}
+	for p.plan().Active() {
+		p.look()
+	}
+	var told []string
+	for _, e := range p.paper.read(t).History {
+		told = append(told, fmt.Sprint(e.Machine, " ", e.What))
+	}
+	require.Equal(t, []string{" plan plan0 of 2 machines", "a1 agreed", "a1 free", "a1 at work", "a1 back", "a1 done", "a2 agreed", "a2 free", "a2 at work", "a2 back",
+		"a2 done", " the plan is over"}, told)
+	p.start(Wish{Machines: []string{"a2"}, Fresh: 1})
+	require.Equal(t, uint64(3), p.until("a2", AtWork).Number, "numbers go on over plans")
+	require.Len(t, p.paper.read(t).Steps, 1, "steps of the plan before are gone")
+	require.Empty(t, p.ended(p.calls[1], "").Steps, "the late end of an earlier try")
+	require.NotEmpty(t, p.ended(p.calls[2], "").Steps)
+}
+
+// A hook that fails is called again under its number as far as that is allowed, and then the plan stands still.
+func TestHookFails(t *testing.T) {
+	m := manner("p", 1)
+	m.Calls = 2
+	p := newPlay(t, m, Wish{Machines: []string{"a1", "a2"}, Fresh: 1})
+	p.until("a1", AtWork)
+	o := p.ended(p.calls[0], "no disk")
+	require.Equal(t, p.calls[:1], o.Calls)
+	require.Empty(t, p.ended(p.calls[0], "no disk").Calls)
+	require.Equal(t, Paused, p.plan().State)
+	require.Equal(t, "the work on a1 failed: no disk", p.plan().Why)
+	p.until("a1", Done)
+	for range 5 {
+		p.look()
+	}
+	require.Equal(t, Waiting, p.paper.read(t).States()["a2"], "nothing further")
+	require.Empty(t, p.ended(p.calls[0], "").Steps, "a word of a try that is over")
+	require.NoError(t, p.do(Resume, ""))
+	p.until("a2", AtWork)
+}
+
+// Who called a hook and is gone leaves it to a person, or to another call under the same number.
+func TestCallerGone(t *testing.T) {
+	for calls, again := range map[int]bool{1: false, 2: true} {
+		m := manner("p", 1)
+		m.Calls = calls
+		p := newPlay(t, m, Wish{Machines: []string{"a1"}, Fresh: 1})
+		p.until("a1", AtWork)
+		m.Self = Life{"q", 1}
+		p.leader = NewLeader(m)
+		for range 3 {
+			p.look()
+		}
+		require.Len(t, p.calls, 1, "p lives and will tell")
+		p.poolers["p"] = 2 // another life
+		for range 3 {
+			p.look()
+		}
+		if again {
+			require.Equal(t, []Call{p.calls[0], p.calls[0]}, p.calls)
+			continue
+		}
+		require.Len(t, p.calls, 1)
+		require.NoError(t, p.do(End, "a1"))
+		p.until("a1", Done)
+	}
+}
+
+// A primary hands over first: by a hook, or by a person; that it is done shows by what is seen.
+func TestHandOver(t *testing.T) {
+	m := manner("p", 1)
+	m.HandsOver = true
+	p := newPlay(t, m, Wish{Machines: []string{"a0"}, Fresh: 1})
+	for len(p.calls) == 0 {
+		p.look()
+	}
+	require.Equal(t, Call{Machine: "a0", To: "a1", Number: 1}, p.calls[0])
+	p.ended(p.calls[0], "")
+	for range 3 {
+		p.look()
+	}
+	require.Equal(t, Waiting, p.paper.read(t).States()["a0"], "it still leads")
+	p.change = func(s *Seen) {
+		s.Machines["a0"].Primary, s.Machines["a0"].Fresh, s.Machines["a1"].Primary = false, true, true
+	}
+	p.until("a0", AtWork)
+	require.Equal(t, uint64(2), p.calls[1].Number)
+
+	p = newPlay(t, m, Wish{Machines: []string{"a0"}, Fresh: 1})
+	for len(p.calls) == 0 {
+		p.look()
+	}
+	p.ended(p.calls[0], "it will not")
+	require.Equal(t, Paused, p.plan().State)
+	require.Nil(t, p.plan().HandOver)
+}
+
+// What is seen decides what is taken: a group that has become too small asks back what is free, more load than the rest can do and
+// a time that is over stop further steps, the one that leads the record hands the lead over.
+func TestSeenDecides(t *testing.T) {
+	m := manner("p", 1)
+	m.Hook = false
+	w := Wish{Machines: []string{"a1", "a2"}, Fresh: 1, Bears: 100}
+	p := newPlay(t, m, w)
+	p.until("a1", Free)
+	p.change = func(s *Seen) { s.Load[1] = 3.5 } // three are left
+	p.until("a1", Waiting)
+	for range 5 {
+		p.look()
+	}
+	require.Equal(t, map[string]State{"a1": Waiting, "a2": Waiting}, p.paper.read(t).States())
+	p.change = func(s *Seen) { s.Load[1] = 1.5 }
+	require.Greater(t, p.until("a1", Free).Number, uint64(1), "a new try")
+	require.NoError(t, p.do(End, "a1"))
+	p.change = func(s *Seen) { s.Machines["a1"].Warm = false }
+	for range 5 {
+		p.look()
+	}
+	require.Equal(t, Back, p.paper.read(t).States()["a1"], "it is cold yet")
+	p.change = func(*Seen) {}
+	p.until("a1", Done)
+
+	w.Until = time.Unix(1010, 0)
+	p = newPlay(t, m, w) // it begins at 1000
+	p.now += 30 * sec
+	p.look()
+	require.Equal(t, "the time for it is over", p.plan().Why)
+
+	p = newPlay(t, manner("p", 1), Wish{Machines: []string{"p"}})
+	p.change = func(s *Seen) { s.Machines["p"].Leads = true }
+	require.True(t, p.look().Resign)
+	p.change = func(*Seen) {}
+	p.until("p", AtWork)
+	p.ended(p.calls[0], "")
+	for range 5 {
+		p.look()
+	}
+	require.Equal(t, Back, p.paper.read(t).States()["p"], "it is the life that was taken out")
+	p.poolers["p"] = 2
+	p.until("p", Done)
+}
+
+// A pooler that was cut off for so long that the fleet's view has forgotten it is no yes; one that left is not waited for.
+func TestLongGone(t *testing.T) {
+	p := newPlay(t, manner("p", 1), Wish{Machines: []string{"a1"}, Fresh: 1})
+	p.paper.say("z", Word{Incarnation: 7, LeaseMS: 9000})
+	for range 30 {
+		p.look()
+	}
+	require.Equal(t, Agreed, p.paper.read(t).States()["a1"])
+	p.change = func(s *Seen) { s.Left = map[string]uint64{"z": 7} }
+	p.until("a1", AtWork)
+	require.NotContains(t, p.paper.read(t).Words, "z")
+
+	p = newPlay(t, manner("p", 1), Wish{Machines: []string{"a1"}, Fresh: 1, GoOn: true})
+	p.paper.say("z", Word{Incarnation: 7, LeaseMS: 9000, Plan: p.plan().ID})
+	p.until("a1", Agreed)
+	began := p.now
+	require.Equal(t, []string{"z"}, p.until("a1", AtWork).Without)
+	require.GreaterOrEqual(t, p.now-began, 10*sec, "the longest lease of any, and what clocks run apart")
+
+	p = newPlay(t, manner("p", 1), Wish{Machines: []string{"a1"}, Fresh: 1, GoOn: true})
+	p.paper.say("z", Word{Incarnation: 7, LeaseMS: 9000, Plan: p.plan().ID})
+	p.until("a1", Agreed)
+	p.leader = NewLeader(manner("q", 1))
+	p.now += 120 * sec // on another's clock
+	began = p.now
+	p.until("a1", AtWork)
+	require.GreaterOrEqual(t, p.now-began, 10*sec, "a new leader waits anew")
+}
+
+// Two poolers take themselves for the leader, on clocks two minutes apart; they are restarted at any point between reading, writing and
+// calling; poolers restart, operators pause, resume and end. No work is begun twice, under one number or two at once, nothing is
+// free while a pooler that lives has not stopped, and when that is over the plan ends.
+func TestTwoLeaders(t *testing.T) {
+	for seed := range uint64(100) {
+		random := rand.New(rand.NewPCG(seed, 9))
+		paper, now := newPaper(), 1000*sec
+		lives := map[string]uint64{"p": 1, "q": 1, "r": 1}
+		open := map[string]uint64{} // machines at work, as who calls the hook knows
+		called := map[uint64]bool{}
+		type one struct {
+			leader *Leader
+			manner Manner
+			apart  time.Duration
+			record Record
+			orders *Orders
+			calls  []Call // that go on
+		}
+		leaders := []*one{{apart: -120 * sec}, {apart: 120 * sec}}
+		restart := func(i int) {
+			name := []string{"p", "q"}[i]
+			lives[name]++
+			leaders[i].manner = manner(name, lives[name])
+			leaders[i].leader, leaders[i].orders, leaders[i].calls = NewLeader(leaders[i].manner), nil, nil
+		}
+		restart(0)
+		restart(1)
+		r := paper.read(t)
+		o, err := Start(now, r, "plan", "ann", Wish{Machines: []string{"a1", "a2", "a3"}, Fresh: 1}, view(now, 4, lives).Look)
+		require.NoError(t, err)
+		require.True(t, paper.write(r, o))
+		said := map[string]Word{}
+		look := func(l *one) {
+			l.record = paper.read(t)
+			o := l.leader.Lead(now+l.apart, now+l.apart, l.record, view(now+l.apart, 4, lives))
+			l.orders = &o
+		}
+		write := func(l *one) {
+			before := l.record.States()
+			if !paper.write(l.record, *l.orders) {
+				l.orders = nil
+				return
+			}
+			after := paper.read(t)
+			out := 0
+			for name, s := range after.Steps {
+				if s.State.Out() {
+					out++
+				}
+				if _, mine := l.orders.Steps[name]; mine && s.State == Free && before[name] == Agreed {
+					for pooler, life := range lives {
+						require.True(t, said[pooler].Incarnation == life && said[pooler].Stopped[name] == s.Number || l.record.Words[pooler].Incarnation < life,
+							"seed %d: %s is free, and %s has not stopped", seed, name, pooler)
+					}
+				}
+			}
+			require.LessOrEqual(t, out, 1, "seed %d", seed)
+			for _, c := range l.orders.Calls {
+				require.False(t, called[c.Number], "seed %d: number %d is called twice", seed, c.Number)
+				require.Zero(t, open[c.Machine], "seed %d: %s is open", seed, c.Machine)
+				called[c.Number], open[c.Machine] = true, c.Number
+				l.calls = append(l.calls, c)
+			}
+			l.orders = nil
+		}
+		ends := func(l *one) {
+			c := l.calls[0]
+			r := paper.read(t)
+			if paper.write(r, l.manner.Ended(now+l.apart, now, r, c, "")) {
+				l.calls = l.calls[1:]
+				delete(open, c.Machine)
+			}
+		}
+		speak := func(name string) {
+			r := paper.read(t)
+			w := Word{Incarnation: lives[name], Plan: r.Plan.ID, Stopped: map[string]uint64{}}
+			for _, s := range r.Course() {
+				if s.State == Agreed {
+					w.Stopped[s.Machine] = s.Number
+				}
+			}
+			said[name] = w
+			paper.say(name, w)
+		}
+		operator := func() {
+			for name, s := range paper.read(t).Steps {
+				caller := slices.IndexFunc(leaders, func(l *one) bool { return l.manner.Self == s.By })
+				if s.State == AtWork && (caller < 0 || len(leaders[caller].calls) == 0 && leaders[caller].orders == nil) { // nobody will tell
+					r := paper.read(t)
+					o, err := Do(now, r, End, name, "ann")
+					require.NoError(t, err)
+					require.True(t, paper.write(r, o))
+					delete(open, name)
+				}
+			}
+		}
+		step := func(faults bool) {
+			now += time.Duration(random.IntN(1500)) * time.Millisecond
+			i := random.IntN(2)
+			switch l := leaders[i]; random.IntN(8) {
+			case 0, 1, 2:
+				if l.orders == nil {
+					look(l)
+				} else {
+					write(l)
+				}
+			case 3:
+				if len(l.calls) > 0 {
+					ends(l)
+				}
+			case 4, 5:
+				speak([]string{"p", "q", "r"}[random.IntN(3)])
+			case 6:
+				operator()
+			case 7:
+				if !faults {
+					break
+				}
+				switch random.IntN(4) {
+				case 0:
+					restart(i)
+				case 1:
+					lives["r"]++
+				default:
+					r := paper.read(t)
+					if o, err := Do(now, r, []Verb{Pause, Resume, Resume}[random.IntN(3)], "", "ann"); err == nil {
+						paper.write(r, o)
+					}
+				}
+			}
+		}
+		for range 150 {
+			step(true)
+		}
+		if r := paper.read(t); r.Plan.State == Paused {
+			o, err := Do(now, r, Resume, "", "ann")
+			require.NoError(t, err)
+			require.True(t, paper.write(r, o))
+		}
+		for n := 0; n < 3000 && paper.read(t).Plan.Active(); n++ {
+			step(false)
+		}
+		require.Equal(t, Over, paper.read(t).Plan.State, "seed %d: %v", seed, paper.read(t).Steps)
+	}
+}
--- a/internal/works/record.go
+++ b/internal/works/record.go
@@ -38,7 +38,7 @@
 )
 
 // Active tells whether there is a plan that is not over.
-func (p *Plan) Active() bool { return p.ID != "" && p.State != Over }
+func (p Plan) Active() bool { return p.ID != "" && p.State != Over }
 
 // Word is what a pooler says of itself in the record. It stands there until the pooler leaves: one that is not heard is known by it.
 type Word struct {
@@ -111,14 +111,14 @@
 }
 
 // Course are the steps of the plan, in its order.
-func (r *Record) Course() (steps []Step) {
+func (r Record) Course() (steps []Step) {
 	for _, name := range r.Plan.Wish.Machines {
 		steps = append(steps, r.step(name))
 	}
 	return steps
 }
 
-func (r *Record) step(name string) Step {
+func (r Record) step(name string) Step {
 	s, known := r.Steps[name]
 	if !known {
 		s = Step{Machine: name}
@@ -127,7 +127,7 @@
 }
 
 // States is how far each machine is.
-func (r *Record) States() map[string]State {
+func (r Record) States() map[string]State {
 	at := map[string]State{}
 	for _, s := range r.Course() {
 		at[s.Machine] = s.State
