Let members of the record come and go, and keep a pooler alive whose store's disk is full

Seen (TestDiskFull, before): a store whose files may not grow ended its whole pooler: "panic: failed to save current term: write raft.db: file too large". raft has no way for a term that cannot be kept (setCurrentTerm in its raft.go). Change: what keeps term and vote waits until it can write (disk.go); a leader whose log takes no entry steps down by itself, as seen in the log. The end of the program waits for raft 2 s at the most then. A limit on file size stands for the full disk; SIGXFSZ did not end the program, EFBIG came through.

Members: POST /v1/members adds one (a listener first, a vote once it holds what the others hold) or takes one out; addresses that no file names stand in the record. Test with processes: one of three killed for good, replaced, another of the first ones killed, the rest goes on, the new one restarted.

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -84,6 +84,7 @@
 	StoreEvery     time.Duration // the state is stored this often
 	StoreWait      time.Duration // for one change of the store
 	StoreWatch     time.Duration // a watch of the store waits no longer
+	StoreCatchUp   time.Duration // a new member of the store holds by then what the others hold
 	LogEvery       time.Duration // at most one line a kind of bad input in this time
 }
 
@@ -186,6 +187,7 @@
 		StoreEvery:     2 * time.Second,
 		StoreWait:      2 * time.Second,
 		StoreWatch:     30 * time.Second,
+		StoreCatchUp:   10 * time.Second,
 		LogEvery:       time.Second,
 	}
 }
--- a/internal/store/config.go
+++ b/internal/store/config.go
@@ -15,14 +15,15 @@
 	API     string `toml:"api"`
 	APIBind string `toml:"api_bind"` // where it listens for calls, if it is reached elsewhere, at api
 	Dir     string `toml:"dir"`
+	Join    bool   `toml:"join"` // the others have begun without this one: it waits until it is made a member
 	Peers   []Peer `toml:"peers"`
 }
 
 // Peer is one pooler's store.
 type Peer struct {
-	Name   string `toml:"name"`
-	Listen string `toml:"listen"`
-	API    string `toml:"api"`
+	Name   string `toml:"name" json:"name"`
+	Listen string `toml:"listen" json:"listen"`
+	API    string `toml:"api" json:"api"`
 }
 
 // Check tells what is wrong with the table. Whether the peers list this pooler shows only in Open.
@@ -37,6 +38,9 @@
 	if len(c.Peers) > 0 && c.Dir == "" {
 		return tables.Bad("dir", "is empty, and there are peers")
 	}
+	if c.Join && len(c.Peers) == 0 {
+		return tables.Bad("join", "there are no peers to join")
+	}
 	for i, p := range c.Peers {
 		key := fmt.Sprintf("peers[%d]", i)
 		if p.Name == "" || p.Listen == "" || p.API == "" {
--- a/internal/store/linear_test.go
+++ b/internal/store/linear_test.go
@@ -72,15 +72,25 @@
 }
 
 func startStores(t *testing.T, seed uint64) *testbed.Fleet {
-	f := testbed.NewStores(t, seed, 3)
+	f := testbed.NewStores(t, seed, 3, 0)
 	f.StartAll()
-	led(f)
+	led(f, f.Names...)
 	return f
 }
 
-// led waits until all answer a read that needs a majority.
-func led(f *testbed.Fleet) {
-	for _, name := range f.Names {
+// get reads from a store.
+func get(api, path string, into any) bool {
+	answer, err := (&http.Client{Timeout: time.Second}).Get("http://" + api + path)
+	if err != nil {
+		return false
+	}
+	defer answer.Body.Close()
+	return answer.StatusCode == http.StatusOK && json.NewDecoder(answer.Body).Decode(into) == nil
+}
+
+// led waits until these answer a read that needs a majority.
+func led(f *testbed.Fleet, names ...string) {
+	for _, name := range names {
 		f.Beds[name].Eventually(func() bool {
 			var a map[string]any
 			return call(f.API(name), "/v1/read", []string{"k0"}, &a)
@@ -148,7 +158,7 @@
 				until := tried.Load() + 20 // calls, answered or not
 				f.Beds["n0"].Eventually(func() bool { return tried.Load() >= until }, "clients go on")
 			}
-			led(f)
+			led(f, f.Names...)
 			over.Store(1)
 			clients.Wait()
 			applied := 0
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -43,12 +44,16 @@
 	limits limits.Limits
 	log    zerolog.Logger
 	raft   *raft.Raft
-	apis   map[raft.ServerID]string
+	name   string
+	apis   map[raft.ServerID]string // by the file; api knows those of members that came later
 	http   *http.Server
 	caller *http.Client // of the one that leads
 	bolt   io.Closer
+	disk   *patient // nil: it is kept in memory
 	state  state
 
+	membership sync.Mutex // one change of members at a time
+
 	mu      sync.Mutex
 	waiting map[string][]byte
 	wake    chan struct{}
@@ -61,7 +66,7 @@
 	if err := cfg.lists(name); err != nil {
 		return nil, err
 	}
-	r := &replicated{limits: l, log: log, apis: map[raft.ServerID]string{}, caller: caller(nil), waiting: map[string][]byte{},
+	r := &replicated{name: name, limits: l, log: log, apis: map[raft.ServerID]string{}, caller: caller(nil), waiting: map[string][]byte{},
 		wake: make(chan struct{}, 1), done: make(chan struct{}),
 		state: state{record: newRecord(recordBounds{keys: l.StoreKeys, value: l.StoreValue, window: l.StoreWindow}), changed: make(chan struct{})}}
 	rc := raft.DefaultConfig()
@@ -78,7 +83,8 @@
 		if err != nil {
 			return nil, fmt.Errorf("store: dir: %w", err)
 		}
-		logs, stable, r.bolt = bolt, bolt, bolt
+		r.disk = &patient{StableStore: bolt, log: log, again: l.StoreEvery / 10}
+		logs, stable, r.bolt = bolt, r.disk, bolt
 		if snapshots, err = raft.NewFileSnapshotStoreWithLogger(cfg.Dir, 2, rc.Logger); err != nil {
 			return nil, fmt.Errorf("store: dir: %w", err)
 		}
@@ -102,7 +108,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("store: dir: %w", err)
 	}
-	if !known { // All peers begin with the same list, so it does not matter which is first.
+	if !known && !cfg.Join { // All peers begin with the same list, so it does not matter which is first.
 		err := raft.BootstrapCluster(rc, logs, stable, snapshots, transport, raft.Configuration{Servers: servers})
 		if err != nil {
 			return nil, fmt.Errorf("store: %w", err)
@@ -145,7 +151,7 @@
 func (r *replicated) Close() {
 	close(r.done)
 	r.ended.Wait()
-	if r.Leads() && len(r.apis) > 1 { // Against a time without a leader at a planned stop.
+	if r.Leads() && len(r.raft.GetConfiguration().Configuration().Servers) > 1 { // Against a time without a leader at a planned stop.
 		if err := r.HandOver(); err != nil {
 			r.log.Warn().Err(err).Msg("store: nobody takes the lead over")
 		}
@@ -153,8 +159,16 @@
 	if r.http != nil {
 		r.http.Close()
 	}
-	if err := r.raft.Shutdown().Error(); err != nil {
-		r.log.Warn().Err(err).Msg("store: end")
+	ended := make(chan error, 1)
+	go func() { ended <- r.raft.Shutdown().Error() }()
+	select {
+	case err := <-ended:
+		if err != nil {
+			r.log.Warn().Err(err).Msg("store: end")
+		}
+	case <-time.After(r.limits.StoreWait): // Against a disk that takes nothing: raft waits for it.
+		r.log.Warn().Msg("store: it does not end")
+		return
 	}
 	if r.bolt != nil {
 		r.bolt.Close()
@@ -243,11 +257,15 @@
 // leader asks the pooler that leads.
 func (r *replicated) leader(may bool, path string, body []byte, into any) error {
 	_, leader := r.raft.LeaderWithID()
-	api := r.apis[leader]
+	api := r.api(leader)
 	if api == "" || !may {
 		return errors.New("no leader is known")
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), r.limits.StoreWait)
+	wait := r.limits.StoreWait
+	if path == "/v1/members" {
+		wait += 2 * r.limits.StoreCatchUp
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+api+path, bytes.NewReader(body))
 	if err != nil {
@@ -260,7 +278,8 @@
 	}
 	defer answer.Body.Close()
 	if answer.StatusCode != http.StatusOK {
-		return errors.New(answer.Status)
+		why, _ := io.ReadAll(io.LimitReader(answer.Body, 300))
+		return errors.New(strings.TrimSpace(string(why)))
 	}
 	return json.NewDecoder(answer.Body).Decode(into)
 }
@@ -319,6 +338,7 @@
 		reply(w, a, err)
 	})
 	mux.HandleFunc("GET /v1/watch", r.watch)
+	r.serveMembers(mux)
 	r.http = &http.Server{Handler: mux, ReadHeaderTimeout: r.limits.StoreWait}
 	go r.http.Serve(l)
 	return nil
--- a/internal/testbed/fleet.go
+++ b/internal/testbed/fleet.go
@@ -59,17 +59,26 @@
 	return f
 }
 
-// NewStores prepares n poolers whose stores agree; none is started. Call reaches a store's API.
-func NewStores(t *testing.T, seed uint64, n int) *Fleet {
-	f := newFleet(t, seed, n, nil)
+// NewStores prepares n poolers whose stores agree, and some that may join them later; none is started. Call reaches a store's API.
+func NewStores(t *testing.T, seed uint64, n, joiners int) *Fleet {
+	f := newFleet(t, seed, n+joiners, nil)
+	peer := func(name string) string {
+		return fmt.Sprintf("[[store.peers]]\nname = %q\nlisten = %q\napi = %q\n", name, f.public[name], f.apis[name])
+	}
 	peers := ""
-	for _, name := range f.Names {
+	for i, name := range f.Names {
 		f.apis[name] = Free(t)
-		peers += fmt.Sprintf("[[store.peers]]\nname = %q\nlisten = %q\napi = %q\n", name, f.public[name], f.apis[name])
+		if i < n {
+			peers += peer(name)
+		}
 	}
 	f.table = func(name string) string {
-		return fmt.Sprintf("[store]\nenabled = true\nlisten = %q\nbind = %q\napi = %q\ndir = %q\n%s", f.public[name], f.own[name], f.apis[name],
-			t.TempDir(), peers)
+		text := fmt.Sprintf("[store]\nenabled = true\nlisten = %q\nbind = %q\napi = %q\ndir = %q\n", f.public[name], f.own[name], f.apis[name],
+			t.TempDir())
+		if slices.Index(f.Names, name) >= n {
+			return text + "join = true\n" + peers + peer(name)
+		}
+		return text + peers
 	}
 	return f
 }
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"capercove/internal/discovery"
 	"capercove/internal/pg"
@@ -254,6 +255,15 @@
 // Signal sends a signal to the program.
 func (b *Bed) Signal(s syscall.Signal) { require.NoError(b.T, b.process.Process.Signal(s)) }
 
+// FileLimit bounds how large the program may make a file, in bytes, from now on; 0: as large as it likes.
+func (b *Bed) FileLimit(bytes uint64) {
+	limit := unix.Rlimit{Cur: bytes, Max: unix.RLIM_INFINITY}
+	if bytes == 0 {
+		limit.Cur = unix.RLIM_INFINITY
+	}
+	require.NoError(b.T, unix.Prlimit(b.process.Process.Pid, unix.RLIMIT_FSIZE, &limit, nil))
+}
+
 // Memory is how many bytes of memory the program holds.
 func (b *Bed) Memory() (bytes int) {
 	var size, pages int
