--- a/cmd/capercove/main.go
+++ b/cmd/capercove/main.go
@@ -293,7 +293,7 @@
 		from = gonet.ParseIP(host)
 	}
 	return driver.Start(p.own.Works, driver.Pooler{Name: cfg.Name, Core: p.core, Do: p.driver.Do, Store: p.store,
-		Client: store.NewClient(p.own.records(), p.limits.StoreWait, from), Fleet: p.fleet.State, Incarnation: p.fleet.Incarnation,
+		Client: store.NewClient(p.own.records(), p.limits.StoreWait, from), Fleet: p.fleet.State, Incarnation: p.fleet.Incarnation, Joined: p.fleet.Joined,
 		Zones: cfg.Facts.Zones, Fresh: fresh, Clock: p.core.Now, Log: p.log})
 }
 
--- a/internal/fleet/gossip/state.go
+++ b/internal/fleet/gossip/state.go
@@ -132,3 +132,10 @@
 	defer g.mu.Unlock()
 	return g.talk.Author.Incarnation()
 }
+
+// Joined tells whether this process takes part: not while another has its address.
+func (g *Gossip) Joined() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.list != nil
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -22,6 +22,7 @@
 	"github.com/hashicorp/raft"
 	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
 	"github.com/rs/zerolog"
+	"go.etcd.io/bbolt"
 
 	"capercove/internal/limits"
 )
@@ -79,7 +80,11 @@
 	if memory := raft.NewInmemStore(); cfg.Dir == "" {
 		logs, stable = memory, memory
 	} else {
-		bolt, err := raftboltdb.NewBoltStore(filepath.Join(cfg.Dir, "raft.db"))
+		// Against a start that hangs for ever: at an upgrade the process before may hold the file, and go on holding it until this one is ready.
+		bolt, err := raftboltdb.New(raftboltdb.Options{Path: filepath.Join(cfg.Dir, "raft.db"), BoltOptions: &bbolt.Options{Timeout: l.StoreCatchUp}})
+		if errors.Is(err, bbolt.ErrTimeout) {
+			return nil, fmt.Errorf("store: dir: %s is held by another process, such as the one before this at an upgrade: it has to end first", cfg.Dir)
+		}
 		if err != nil {
 			return nil, fmt.Errorf("store: dir: %w", err)
 		}
--- a/internal/works/driver/cases_test.go
+++ b/internal/works/driver/cases_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -326,6 +327,47 @@
 	r.Settled("the end", r.Names...)
 }
 
+// At an upgrade two processes of one name serve for a while: a machine is not free before both have stopped, and the new one goes on
+// under the name alone.
+func TestUpgrade(t *testing.T) {
+	t.Parallel()
+	r := &run{testbed.NewWorks(t, 18, 4, quick, warmSoon)}
+	r.Start("n0", testbed.WithReplicas(1))
+	r.Start("n1")
+	r.Start("n2")
+	b := r.Start("n3", testbed.WithListener) // it keeps no record: two processes cannot share one
+	r.Settled("the start", r.Names...)
+	old := b.Process()
+	end := b.Upgrade()
+	require.NoError(t, old.Signal(syscall.SIGSTOP)) // what comes now is the new one's
+	c := b.Client()
+	for len(r.held("db-1")) == 0 {
+		c = b.Client()
+		c.Send(testbed.Query(b.Statement("report", "n3 hold", holds)))
+		r.Serve("beside", "n0")
+	}
+	require.NoError(t, old.Signal(syscall.SIGCONT))
+	r.start("n0", "machines = [\"db-1\"]\nfresh = 1\n")
+	r.reaches("n0", "db-1", works.Agreed)
+	r.eventually(func() bool { return slices.Equal(r.status("n0").Missed, []string{"n3+"}) }, "the new process alone is not heard")
+	for _, d := range r.Beds["n0"].Databases {
+		d.Release()
+	}
+	require.True(t, c.Next().Complete)
+	r.reaches("n0", "db-1", works.Free)
+	require.NoError(t, end())
+	r.Settled("the old one has left", r.Names...)
+	before := len(r.database("db-1").Got())
+	for range 5 {
+		r.Serve("after the upgrade", r.Names...)
+	}
+	require.Len(t, r.database("db-1").Got(), before)
+	r.do("n3", "end", "db-1")
+	r.over("n0")
+	r.start("n0", "machines = [\"db-2\"]\nfresh = 1\n") // nobody waits for a second process any more
+	r.reaches("n0", "db-2", works.Free)
+}
+
 // What is wrong with the table, or with a wish, is told with line and key.
 func TestBadInput(t *testing.T) {
 	t.Parallel()
--- a/internal/works/driver/driver.go
+++ b/internal/works/driver/driver.go
@@ -42,6 +42,7 @@
 	Client      *store.Client
 	Fleet       func() gossip.State
 	Incarnation func() uint64
+	Joined      func() bool // this process is the pooler's part of the fleet: no other of its name is, as one that ends at an upgrade
 	Zones       []string
 	Fresh       time.Duration // what the tightest class bears
 	Clock       func() time.Duration
@@ -101,7 +102,7 @@
 	d.ended.Wait()
 	ctx, cancel := context.WithTimeout(context.Background(), leaves)
 	defer cancel()
-	if _, err := d.pooler.Client.Change(ctx, store.Change{Delete: []string{works.WordKey(d.pooler.Name)}}); err != nil {
+	if _, err := d.pooler.Client.Change(ctx, store.Change{Delete: []string{d.key()}}); err != nil {
 		d.pooler.Log.Warn().Err(err).Msg("works: the record does not know that this pooler leaves")
 	}
 }
@@ -176,7 +177,7 @@
 			continue
 		}
 		asked := d.pooler.Clock()
-		key := works.WordKey(d.pooler.Name)
+		key := d.key()
 		v, err := d.pooler.Client.Read(ctx, works.Now, key)
 		if failed := err != nil; failed != failing && ctx.Err() == nil {
 			failing = failed
@@ -267,17 +268,23 @@
 	off := core.Off{All: !d.reader.Known(), Until: lapses, Now: map[choice.NodeID]bool{}, Worn: map[choice.NodeID]bool{}, Then: map[choice.NodeID]bool{},
 		Blind: map[choice.NodeID]bool{}}
 	agreed := map[choice.NodeID]bool{}
-	for _, name := range slices.Sorted(maps.Keys(group)) {
+	names := slices.Sorted(maps.Keys(group))
+	for name := range d.record.Steps { // Against one that the list has dropped, and brings back at once: it is kept off all the same.
+		if _, listed := group[name]; !listed {
+			names = append(names, name)
+		}
+	}
+	for _, name := range names {
 		id := discovery.ID(name)
-		others := slices.DeleteFunc(slices.Clone(groups[group[name]]), func(o string) bool { return o == name })
+		g, listed := group[name]
+		others := slices.DeleteFunc(slices.Clone(groups[g]), func(o string) bool { return o == name })
 		if may, _ := d.reader.May(now, name, others); !may {
 			off.Now[id] = true
 		}
 		may, blind := d.reader.May(max(now, lapses), name, others)
-		if !may {
+		if !may || blind && !listed {
 			off.Then[id] = true
-		}
-		if blind {
+		} else if blind {
 			off.Blind[id] = true
 		}
 		switch d.record.Steps[name].State {
@@ -300,7 +307,7 @@
 		off = core.Off{Worn: off.Worn}
 	}
 	d.shown.Off = nil
-	for _, name := range slices.Sorted(maps.Keys(group)) {
+	for _, name := range names {
 		if off.All || off.Now[discovery.ID(name)] {
 			d.shown.Off = append(d.shown.Off, name)
 		}
@@ -355,12 +362,22 @@
 	return ask
 }
 
+// key is where this process's word stands. At an upgrade there are two of a name for a while, and each has to say that it stopped.
+func (d *Driver) key() string {
+	if d.pooler.Joined() {
+		return works.WordKey(d.pooler.Name)
+	}
+	return works.WordKey(d.pooler.Name + second)
+}
+
+// second is of the process of a name that is not part of the fleet yet.
+const second = "+"
+
 // say keeps this pooler's word in the record as it is.
 func (d *Driver) say(ctx context.Context) {
-	key := works.WordKey(d.pooler.Name)
 	var said works.Word
 	var at uint64 // revision at which it was said
-	stands := false
+	key, stands, first := "", false, true
 	for {
 		select {
 		case <-d.words:
@@ -370,9 +387,16 @@
 		d.mu.Lock()
 		w := d.word
 		d.mu.Unlock()
+		var deleted []string
+		if now := d.key(); now != key {
+			key, stands, at = now, false, 0
+		}
 		if d.unsaid.Swap(false) && stands {
 			stands, at = false, 0
 		}
+		if first && d.pooler.Joined() { // its own of before, or that of one that ended without a word
+			deleted = []string{works.WordKey(d.pooler.Name + second)}
+		}
 		w.Incarnation, w.LeaseMS = d.pooler.Incarnation(), int64(d.config.LeaseMS)
 		if stands && w.Incarnation == said.Incarnation && w.Plan == said.Plan && maps.Equal(w.Stopped, said.Stopped) {
 			continue
@@ -381,9 +405,9 @@
 		if err != nil {
 			panic(err) // a fault of this program: there is nothing in it that cannot be written
 		}
-		o, err := d.pooler.Client.Change(ctx, store.Change{ID: d.id(), If: map[string]uint64{key: at}, Set: map[string]json.RawMessage{key: text}})
+		o, err := d.pooler.Client.Change(ctx, store.Change{ID: d.id(), If: map[string]uint64{key: at}, Set: map[string]json.RawMessage{key: text}, Delete: deleted})
 		if stands = err == nil && o.Applied; stands {
-			said, at = w, o.Revision
+			said, at, first = w, o.Revision, first && deleted == nil
 			continue
 		}
 		// It may have been done, or an earlier life's word stands there: the next try is on what does.
@@ -506,7 +530,14 @@
 // lives, nobody else may write it.
 func (d *Driver) hook(ctx context.Context, call works.Call, self works.Life) {
 	d.pooler.Log.Info().Str("machine", call.Machine).Str("to", call.To).Uint64("number", call.Number).Msg("works: a hook is called")
-	failed := d.config.call(ctx, call)
+	ended := make(chan string, 1)
+	go func() { ended <- d.config.call(call) }()
+	var failed string
+	select {
+	case failed = <-ended:
+	case <-ctx.Done():
+		return
+	}
 	m := d.manner(self)
 	for ; ctx.Err() == nil; sleep(ctx, pause) {
 		r, err := d.whole(ctx)
--- a/internal/works/driver/hook.go
+++ b/internal/works/driver/hook.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"capercove/internal/works"
@@ -19,9 +20,10 @@
 
 const hookSays = 300 // bytes of what a hook says that are kept
 
-// call calls the hook of a call and waits for its end; the text says why it failed.
-func (c Config) call(ctx context.Context, call works.Call) (failed string) {
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(c.HookSeconds)*time.Second)
+// call calls the hook of a call and waits for its end; the text says why it failed. It is not ended with this process: work that is
+// broken off half way is worse than work of which nobody knows that it has ended.
+func (c Config) call(call works.Call) (failed string) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(c.HookSeconds)*time.Second)
 	defer cancel()
 	verb, program := "work", c.Hook
 	if call.To != "" {
@@ -48,25 +50,24 @@
 	if call.To != "" {
 		args = append(args, call.To)
 	}
-	var out bytes.Buffer
+	out, err := os.CreateTemp("", "capercove-hook-*") // a file, as a pipe would end the program at its next word, should this process end
+	if err != nil {
+		return err
+	}
+	defer out.Close()
+	os.Remove(out.Name())
 	p := exec.CommandContext(ctx, program[0], args...)
 	p.Env = append(os.Environ(), "CAPERCOVE_WORK="+strconv.FormatUint(call.Number, 10))
-	p.Stdout, p.Stderr = limited{&out}, limited{&out}
-	p.WaitDelay = time.Second // Against a child of its own that holds the output open.
+	p.Stdout, p.Stderr = out, out
+	p.SysProcAttr = &syscall.SysProcAttr{Setpgid: true} // a signal for this process's group is not for it
 	if err := p.Run(); err != nil {
-		return fmt.Errorf("%w: %s", err, strings.TrimSpace(out.String()))
+		says := make([]byte, hookSays)
+		n, _ := out.ReadAt(says, 0)
+		return fmt.Errorf("%w: %s", err, strings.TrimSpace(string(says[:n])))
 	}
 	return nil
 }
 
-// limited keeps the first bytes.
-type limited struct{ b *bytes.Buffer }
-
-func (l limited) Write(p []byte) (int, error) {
-	l.b.Write(p[:min(len(p), hookSays-min(hookSays, l.b.Len()))])
-	return len(p), nil
-}
-
 func post(ctx context.Context, to, verb string, call works.Call) error {
 	body, err := json.Marshal(map[string]any{"id": call.Number, "do": verb, "machine": call.Machine})
 	if err != nil {
