--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -479,21 +479,33 @@
 	return c.Next()
 }
 
-// Try asks on a connection of its own, and tells whether an answer came. It may be called from any goroutine, also while the program
-// does not run.
-func (b *Bed) Try(sql string, within time.Duration) (r pg.Reply, answered bool) {
+// Reach connects and starts, and tells whether the program let it in by then. It may be called from any goroutine, also while the program
+// does not run. Who calls it closes the connection.
+func (b *Bed) Reach(within time.Duration) (c *Client, let bool) {
 	conn, err := net.DialTimeout("tcp", b.Addr, within)
 	if err != nil {
-		return r, false
+		return nil, false
 	}
-	defer conn.Close()
-	c := &Client{Conn: conn, t: b.T, within: within}
+	c = &Client{Conn: conn, t: b.T, within: within}
 	c.Write(pg.AppendStartup(nil, "client", "core"))
-	if r, err = c.next(); err != nil || r.Code != "" {
-		return r, err == nil
+	if r, err := c.next(); err != nil || r.Code != "" {
+		conn.Close()
+		return nil, false
+	}
+	c.within = 0
+	return c, true
+}
+
+// Try asks on a connection of its own, and tells whether an answer came. It may be called as Reach.
+func (b *Bed) Try(sql string, within time.Duration) (r pg.Reply, answered bool) {
+	c, let := b.Reach(within)
+	if !let {
+		return r, false
 	}
+	defer c.Close()
+	c.within = within
 	c.Write(pg.AppendQuery(nil, sql))
-	r, err = c.next()
+	r, err := c.next()
 	return r, err == nil
 }
 
