Keep a pooler from asking a record without a majority as fast as it answers

Read again: a word that could not be written was tried anew at once (driver.say, d.kick after a failure), and a store without a majority turns calls down at once: a busy loop of HTTP calls for as long as that lasts. Read in the code; the calls were not counted before and after. The disk's flag that a write waits was kept for nobody: it is gone (disk.go), the log lines stay. The tests of the driver (78 s) and of members and a full disk pass; behaviour else and assertions as before.

--- a/internal/store/disk.go
+++ b/internal/store/disk.go
@@ -1,7 +1,6 @@
 package store
 
 import (
-	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/raft"
@@ -15,7 +14,6 @@
 	raft.StableStore
 	log   zerolog.Logger
 	again time.Duration // a write that failed is tried again so much later
-	stuck atomic.Bool   // a write waits
 }
 
 func (p *patient) Set(key, value []byte) error {
@@ -28,14 +26,13 @@
 
 func (p *patient) try(write func() error) error {
 	err := write()
+	if err == nil {
+		return nil
+	}
+	p.log.Error().Err(err).Msg("store: takes no part until it can write")
 	for ; err != nil; err = write() {
-		if !p.stuck.Swap(true) {
-			p.log.Error().Err(err).Msg("store: takes no part until it can write")
-		}
 		time.Sleep(p.again)
 	}
-	if p.stuck.Swap(false) {
-		p.log.Info().Msg("store: it can write again")
-	}
+	p.log.Info().Msg("store: it can write again")
 	return nil
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -50,7 +50,6 @@
 	http   *http.Server
 	caller *http.Client // of the one that leads
 	bolt   io.Closer
-	disk   *patient // nil: it is kept in memory
 	state  state
 
 	membership sync.Mutex // one change of members at a time
@@ -88,8 +87,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("store: dir: %w", err)
 		}
-		r.disk = &patient{StableStore: bolt, log: log, again: l.StoreEvery / 10}
-		logs, stable, r.bolt = bolt, r.disk, bolt
+		logs, stable, r.bolt = bolt, &patient{StableStore: bolt, log: log, again: l.StoreEvery / 10}, bolt
 		if snapshots, err = raft.NewFileSnapshotStoreWithLogger(cfg.Dir, 2, rc.Logger); err != nil {
 			return nil, fmt.Errorf("store: dir: %w", err)
 		}
--- a/internal/works/driver/driver.go
+++ b/internal/works/driver/driver.go
@@ -414,6 +414,7 @@
 		if v, err := d.pooler.Client.Read(ctx, key); err == nil {
 			at = v.Values[key].Revision
 		}
+		sleep(ctx, turn) // Against a busy loop while no majority is there: calls fail at once then.
 		d.kick()
 	}
 }
