Give a new member of the record that takes a call and says nothing an end

Read again: holds (members.go) asked the newcomer without a time-out, under the lock that lets members change one at a time: one that takes the call and is silent kept all further changes out. Each call ends after the store's time-out now. TestReplaceMember passes; a silent newcomer has no test of its own.

--- a/internal/store/members.go
+++ b/internal/store/members.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -97,7 +98,13 @@
 
 // holds tells whether the store at an address holds a revision.
 func (r *replicated) holds(api string, revision uint64) bool {
-	answer, err := r.caller.Get("http://" + api + "/v1/watch?name=none")
+	ctx, cancel := context.WithTimeout(context.Background(), r.limits.StoreWait) // Against one that takes the call and says nothing.
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+api+"/v1/watch?name=none", nil)
+	if err != nil {
+		return false
+	}
+	answer, err := r.caller.Do(request)
 	if err != nil {
 		return false
 	}
