Open a broken watch on the list anew within 2 s, without the rest of a failed call

Followed by a line for each list call and send: pooler n30's watch is reset at 0.143 s, the list changes at 1.56 s, n30 calls again at 4.499 s and sends to s- at 4.432 s, taken for serving.

Cause: choice.go, ListFailed waits askWait/2 + a share of askWait, with askWait 0.1 s a router: 1.6 to 4.8 s for 32, up to 6 s for 300. That rest is meant for calls that failed, and was taken after a watch that had worked as well.

Ruled out: the list that came was read and applied at once (rev 2, 8 members, 4 draining, applied at 4.647 s); no send to a database after this pooler had its list; no job left in the pool.

Change: a watch that worked is opened anew within the spread alone, at most a third of what binds (2 s); after a failed call the spread's length passes first. It no longer doubles: for 300 routers 2 to 4 s, for 5 routers 0.5 to 1 s.

The two tests fail without the mend (run: 'asked, the last 4.8s after the loss').

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -38,7 +38,7 @@
 	silenceBy     = 4         // ... or this multiple of its usual latency, if longer
 	restarted     = 1000 * ms // a node unreachable this long is taken to have restarted cold
 	askEach       = 100 * ms  // times the routers: they spread their list calls after a failure over so long
-	pauseFirst    = 500 * ms  // first pause of a mute node, and in the mean after a failed list call; doubles
+	pauseFirst    = 500 * ms  // first pause of a mute node; doubles. Least time to spread list calls over
 	pauseMost     = 4 * time.Second
 	again         = 50 * ms          // before a request goes to a node, or asks for its report, once more
 	lostAfter     = 8                // times the usual latency, and the aim: what later ones overtook is lost
@@ -146,7 +146,7 @@
 	tightest           time.Duration // bound on age of all classes
 	nextTick, nextLoop time.Duration
 	bans               map[NodeID]time.Duration
-	askAt, askWait     time.Duration // when to subscribe, negative: done; wait after the next failure
+	askAt, askRest     time.Duration // when to subscribe, negative: done; rest after a loss
 	out                []Action
 }
 
@@ -155,7 +155,7 @@
 	r := &Router{seed: seed, size: 1, byID: map[NodeID]*node{}, requests: map[RequestID]*request{},
 		sessions: map[uint64]time.Duration{}, extra: extraMost / 2}
 	r.retune(s)
-	r.askWait = r.askOver(time.Duration(s.Routers) * askEach)
+	r.askRest = r.askOver()
 	return r
 }
 
@@ -178,8 +178,9 @@
 		case BansChanged:
 			r.ban(e.Bans)
 		case ListFailed:
-			r.askAt = now + r.askWait/2 + time.Duration(mix(r.seed^uint64(now))%uint64(r.askWait))
-			r.askWait = r.askOver(2 * r.askWait)
+			over := r.askOver()
+			r.askAt = now + r.askRest + time.Duration(mix(r.seed^uint64(now))%uint64(over))
+			r.askRest = over
 		}
 	}
 	for i := range events {
@@ -222,15 +223,15 @@
 
 // ---- The node list
 
-// askOver bounds the time over which routers that lost the list together spread their next calls, after half
-// of it without any. Against a service that answers in turn: it would never get through with those that gave
-// up. It has an end, as what the list has to tell binds those that wait, too: each has asked by then.
-func (r *Router) askOver(spread time.Duration) time.Duration {
-	return min(max(pauseFirst, spread), cmp.Or(r.set.ListBinds*2/3, pauseMost))
+// askOver is the time over which routers that lost the list together spread their next calls. After a call
+// that failed, as much passes first without any: a service that answers in turn would never get through with
+// those that gave up. It ends well before what the list has to tell binds those that wait.
+func (r *Router) askOver() time.Duration {
+	return min(max(pauseFirst, time.Duration(r.set.Routers)*askEach), cmp.Or(r.set.ListBinds/3, pauseMost))
 }
 
 func (r *Router) list(entries []Node, full bool) {
-	r.askWait = r.askOver(time.Duration(r.set.Routers) * askEach)
+	r.askRest = 0
 	if full {
 		for _, n := range r.nodes {
 			if !slices.ContainsFunc(entries, func(e Node) bool { return e.ID == n.ID }) {
--- a/choice/scale_test.go
+++ b/choice/scale_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -404,6 +405,65 @@
 	}
 }
 
+// Watches that worked break at all routers at once, as when the service drops its connections or falls silent. Nothing waits at
+// the service yet, so none rests first: each asks within a third of the time after which what it misses binds, and a service
+// that takes as many calls as there are routers in a little over three seconds answers each before a caller gives up.
+func TestWatchesThatBreakAreOpenedAnewAtOnce(t *testing.T) {
+	for _, routers := range []int{1, 5, 32, 300} {
+		s := settings()
+		s.Routers, s.ListOnRequest, s.ListBinds = routers, true, 6*time.Second
+		const patience = 2 * time.Second
+		work := 3200 * ms / time.Duration(max(routers, 10))
+		var asked []time.Duration
+		for i := range routers {
+			h := &harness{t, New(s, uint64(i)*7919+1), start}
+			h.list(Node{ID: 1, State: Ready})
+			h.step(Event{Kind: ListFailed})
+			broken := h.now
+			for len(asked) == i && h.now < broken+s.ListBinds {
+				for _, a := range h.wait(tickEvery) {
+					if a.Kind == Subscribe {
+						asked = append(asked, h.now-broken)
+					}
+				}
+			}
+		}
+		slices.Sort(asked)
+		if len(asked) < routers || asked[routers-1] > s.ListBinds/3+again+tickEvery {
+			t.Fatalf("%d routers: %d asked, the last %v after the loss", routers, len(asked), asked[len(asked)-1])
+		}
+		free := time.Duration(0)
+		for _, at := range asked {
+			if free = max(free, at) + work; free > at+patience {
+				t.Fatalf("%d routers: one that asks at %v is answered at %v", routers, at, free)
+			}
+		}
+	}
+}
+
+// After a call that failed there is a rest, for as long as the calls are then spread; both end well before what the list tells
+// binds, and do not grow with the failures: a service that comes back is asked by all in that time.
+func TestFailedListCallsRestFirst(t *testing.T) {
+	for _, c := range []struct {
+		routers     int
+		least, most time.Duration
+	}{{1, 500 * ms, time.Second}, {5, 500 * ms, time.Second}, {12, 1200 * ms, 2400 * ms}, {300, 2 * time.Second, 4 * time.Second}} {
+		for seed := range uint64(20) {
+			s := settings()
+			s.Routers, s.ListOnRequest, s.ListBinds = c.routers, true, 6*time.Second
+			h := &harness{t, New(s, seed), start}
+			h.list(Node{ID: 1, State: Ready})
+			h.step(Event{Kind: ListFailed})
+			h.want("after the loss", h.wait(c.most+again), Subscribe)
+			for range 6 {
+				h.step(Event{Kind: ListFailed})
+				h.want("while resting", h.wait(c.least-again))
+				h.want("after the rest", h.wait(c.most-c.least+3*again), Subscribe)
+			}
+		}
+	}
+}
+
 // However many routers there are and however often it failed, a router asks again before what the list has to tell
 // binds it unheard.
 func TestListCallsHaveAnEnd(t *testing.T) {
