Read on behind a full pipeline as soon as answers make room

Cause: net/front.go, client.read reads commands while fewer than Pipeline are open, then flushes. An answer that frees places comes in through read as well, so nothing is read before the flush and nobody reads after it; the bytes are already in the session, so no traffic wakes it.

Ruled out: a database or the router (no attempt was made), output held back (buffered 0 at each write).

Change: read goes on while a full pipeline has got room. The test fails without the mend (run: no answer within 20 s).

--- a/internal/net/front.go
+++ b/internal/net/front.go
@@ -193,27 +193,33 @@
 	k.read()
 }
 
+// read takes in the commands that there is room for. Each answer that goes out makes room for what has waited unread behind a
+// full pipeline: nothing else may come to wake it.
 func (k *client) read() {
 	// Against a client that asks on and on and does not read: its next commands wait.
 	if !k.gone && k.conn.OutboundBuffered() > k.front.limits.OutputBytes/4 {
 		k.check()
 		return
 	}
-	for !k.ending && len(k.slots) < k.front.limits.Pipeline {
-		command, ok := k.session.Next()
-		if !ok {
-			k.wait()
-			break
-		}
-		k.partial = false
-		if k.mute && k.session.Started() {
-			k.mute = false
-			k.front.mute--
-			k.patient.Stop()
+	for full := true; full; {
+		for !k.ending && len(k.slots) < k.front.limits.Pipeline {
+			command, ok := k.session.Next()
+			if !ok {
+				k.wait()
+				break
+			}
+			k.partial = false
+			if k.mute && k.session.Started() {
+				k.mute = false
+				k.front.mute--
+				k.patient.Stop()
+			}
+			k.command(command)
 		}
-		k.command(command)
+		before := len(k.slots)
+		k.flush()
+		full = !k.ending && before == k.front.limits.Pipeline && len(k.slots) < before
 	}
-	k.flush()
 }
 
 // wait notes that the next message is incomplete, or yet to come. Against connections held by half a message.
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -143,6 +143,27 @@
 	require.NotEmpty(t, c.Next().Value)
 }
 
+// What a client sends beyond the commands that may await their answers is read when there is room again, though nothing more
+// comes from it: here one answer holds up all others, which then go out together.
+func TestPipelineBeyondItsLimit(t *testing.T) {
+	const limit, wait = 8, 10 * testbed.Patience
+	b := testbed.Start(t)
+	c := b.Client()
+	out := pg.AppendQuery(nil, b.Statement("write", "hold", wait))
+	for range limit {
+		out = pg.AppendQuery(out, b.Statement("report", "a", wait))
+	}
+	c.Send(out)
+	b.Counters(func(c testbed.Counters) bool {
+		f := c.Core.Fronts["postgres"]
+		return f.Taken == limit && f.Served == limit-1
+	})
+	b.Databases[0].Release()
+	for range 1 + limit {
+		require.NotEmpty(t, c.Next().Value)
+	}
+}
+
 // A client that leaves ends its attempt: the database sees the connection close.
 func TestClientGone(t *testing.T) {
 	b := testbed.Start(t)
