Keep a watch on the list from being forgotten, trickled at or told old lists

(2) reader took any byte for a sign of life: an object that trickles kept a call open up to 4 MiB. (3) a whole list that had come and whose answer was then reset counted as a failed call, and the watch on it waited out a rest. (4) null and {} passed for a change of nothing and set the revision to 0; an older revision and an empty whole list replaced what was known. (5) a silent watch was noticed after 3.2 s, with 2 s to ask anew and 2 s to wait in turn: 7.2 s.

Change: the check and the drop are one step under the lock of Move; only blank lines, beginnings and ends of objects are signs of life; the whole list ends its call once it is whole; objects without a revision, older ones and empty whole ones end the call with an error, and after an older one the whole is asked for; silence is 2.8 s, a line comes every 2 s.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -3,6 +3,7 @@
 package discovery
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -47,9 +48,17 @@
 
 // Parse reads one object and checks it.
 func Parse(text []byte) (l List, err error) {
-	if err := json.Unmarshal(text, &l); err != nil {
+	o := struct {
+		Revision *uint64 `json:"revision"`
+		*List
+	}{List: &l}
+	if err := json.Unmarshal(text, &o); err != nil {
 		return l, err
 	}
+	if o.Revision == nil { // Against any other object, or none, passing for a change of nothing.
+		return l, errors.New("revision: missing")
+	}
+	l.Revision = *o.Revision
 	for i, e := range l.Members {
 		_, known := phases[e.Phase]
 		_, _, err := net.SplitHostPort(e.Addr)
@@ -142,24 +151,28 @@
 		case <-w.calls:
 		}
 		err := w.call()
-		for w.hasMoved() {
+		for w.again() {
 			err = w.call()
 		}
 		if w.ctx.Err() != nil {
 			return
 		}
 		w.log.Warn().Err(err).Msg("discovery: watch ended")
-		select { // Against two calls for one failure: what was asked for meanwhile is answered by this one.
-		case <-w.calls:
-		default:
-		}
 		w.failed()
 	}
 }
 
-func (w *Watch) hasMoved() bool {
+// again tells whether discovery has moved since the last call began. If it has not, what was asked for meanwhile is answered by
+// that call: against two calls for one failure. Both in one step, or a move in between would wait for the next Subscribe.
+func (w *Watch) again() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if !w.moved {
+		select {
+		case <-w.calls:
+		default:
+		}
+	}
 	return w.moved
 }
 
@@ -172,11 +185,11 @@
 	w.moved, w.cancel = false, cancel
 	w.mu.Unlock()
 	if !listed {
-		if err := w.get(ctx, url); !errors.Is(err, io.EOF) {
+		if err := w.get(ctx, url, true); err != nil {
 			return err
 		}
 	}
-	return w.get(ctx, url+"?watch=1&from="+strconv.FormatUint(w.version(), 10))
+	return w.get(ctx, url+"?watch=1&from="+strconv.FormatUint(w.version(), 10), false)
 }
 
 func (w *Watch) version() uint64 {
@@ -185,8 +198,9 @@
 	return w.revision
 }
 
-// get makes one call and reads the objects of its answer, up to io.EOF if all is well.
-func (w *Watch) get(ctx context.Context, url string) error {
+// get makes one call. Asked for the whole list, it returns nil once that has come: how the answer then ends, with its length or by
+// a reset, tells nothing. Otherwise it reads objects until the watch breaks.
+func (w *Watch) get(ctx context.Context, url string, whole bool) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	// Against a discovery that is cut off and never closes: no word in time ends the call.
@@ -201,35 +215,43 @@
 		return err
 	}
 	defer answer.Body.Close()
-	silence.Reset(w.limits.WatchSilence)
+	heard := func() { silence.Reset(w.limits.WatchSilence) }
+	heard()
 	if answer.StatusCode != http.StatusOK {
 		return errors.New(answer.Status)
 	}
-	body := &reader{from: answer.Body, heard: func() { silence.Reset(w.limits.WatchSilence) }}
+	body := &reader{from: answer.Body, heard: heard}
 	objects := json.NewDecoder(body)
-	for {
+	for first := true; ; first = false {
 		var text json.RawMessage
 		body.left = w.limits.ListBytes
 		if err := objects.Decode(&text); err != nil {
 			return err
 		}
+		heard()
+		body.open = !blank(objects.Buffered())
 		l, err := Parse(text)
 		if err == nil && len(l.Members) > w.limits.Members {
 			err = fmt.Errorf("%d members", len(l.Members))
 		}
-		if err != nil {
-			return err
+		if err == nil && whole && !l.Complete {
+			err = errors.New("the list is not complete")
+		}
+		if err == nil {
+			err = w.accept(ctx, l, first)
 		}
-		if !w.accept(ctx, l) {
-			return context.Canceled
+		if err != nil || whole {
+			return err
 		}
 	}
 }
 
-// reader tells of what it reads, also of the empty lines between objects, and bounds what one object may take.
+// reader tells of what it reads between objects, the empty lines, and of the beginning of each object; and it bounds what one
+// object may take. Against an object that trickles on and never ends: its bytes are no sign of life, only its end is.
 type reader struct {
 	from  io.Reader
 	left  int
+	open  bool // an object has begun and is not whole
 	heard func()
 }
 
@@ -239,18 +261,37 @@
 	}
 	n, err := r.from.Read(p)
 	r.left -= n
-	r.heard()
+	if !r.open && n > 0 {
+		r.open = !blank(bytes.NewReader(p[:n]))
+		r.heard()
+	}
 	return n, err
 }
 
-// accept passes on what a call brought, unless discovery has moved since: its revision would mean nothing there.
-func (w *Watch) accept(ctx context.Context, l List) bool {
+// blank tells whether there is nothing but white space.
+func blank(r io.Reader) bool {
+	text, _ := io.ReadAll(r)
+	return len(bytes.TrimSpace(text)) == 0
+}
+
+// accept passes on what a call brought, unless discovery has moved since: its revision would mean nothing there. Behind a newer
+// revision an older one is spoilt; only a whole list that begins an answer may begin anew. Then, or when a whole list names
+// nothing, as none that serves does, the list that is known stays.
+func (w *Watch) accept(ctx context.Context, l List, first bool) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if ctx.Err() != nil {
-		return false
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	if w.listed && l.Revision < w.revision && !(first && l.Complete) {
+		known := w.revision
+		w.listed = false // the whole is asked for next
+		return fmt.Errorf("revision %d, older than %d", l.Revision, known)
+	}
+	if l.Complete && len(l.Members) == 0 {
+		return errors.New("the list names no database")
 	}
 	w.listed, w.revision = true, l.Revision
 	w.changed(l)
-	return true
+	return nil
 }
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -70,7 +70,7 @@
 	AnswerLongest  time.Duration // a long answer is whole this long after its first bytes
 	ClientLeaving  time.Duration // one that is turned away has this long to read why
 	WatchAnswer    time.Duration // discovery's answer begins by then
-	WatchSilence   time.Duration // a watch that is silent this long is broken
+	WatchSilence   time.Duration // a watch that is silent this long, or does not end what it has begun, is broken
 	AcceptBlocks   time.Duration // an accept on a socket that others hold, too, waits in the system for so long
 	Linger         time.Duration // after SIGTERM all are served as ever for this long
 	Stop           time.Duration // after SIGTERM the program ends by then: SIGKILL may come after the longest deadline
@@ -173,7 +173,7 @@
 		AnswerLongest:  time.Minute,
 		ClientLeaving:  250 * time.Millisecond,
 		WatchAnswer:    2500 * time.Millisecond,
-		WatchSilence:   3200 * time.Millisecond, // a line comes every 2 s
+		WatchSilence:   2800 * time.Millisecond, // a line comes every 2 s; what a silent watch misses binds 6 s later
 		AcceptBlocks:   10 * time.Millisecond,
 		Linger:         stop - 1500*time.Millisecond,
 		Stop:           stop,
