Take a configuration's known list without a revision again

Cause: discovery.Parse serves the configuration's 'known' as well, which may be without a revision (it is 0). Change: only objects that discovery's calls bring need one. The tests of discovery and of the program pass; no test was changed.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -46,27 +46,32 @@
 	"SERVING": choice.Ready, "DRAINING": choice.Draining, "DELETED": choice.Gone,
 }
 
-// Parse reads one object and checks it.
-func Parse(text []byte) (l List, err error) {
+// Parse reads one object and checks it. One without a revision has revision 0.
+func Parse(text []byte) (List, error) {
+	l, _, err := parse(text)
+	return l, err
+}
+
+// parse is Parse, and tells whether there is a revision.
+func parse(text []byte) (l List, numbered bool, err error) {
 	o := struct {
 		Revision *uint64 `json:"revision"`
 		*List
 	}{List: &l}
 	if err := json.Unmarshal(text, &o); err != nil {
-		return l, err
+		return l, false, err
 	}
-	if o.Revision == nil { // Against any other object, or none, passing for a change of nothing.
-		return l, errors.New("revision: missing")
+	if numbered = o.Revision != nil; numbered {
+		l.Revision = *o.Revision
 	}
-	l.Revision = *o.Revision
 	for i, e := range l.Members {
 		_, known := phases[e.Phase]
 		_, _, err := net.SplitHostPort(e.Addr)
 		if e.ID == "" || !known || err != nil && e.Phase != "DELETED" {
-			return l, fmt.Errorf("member %d: id %q, host_port %q, phase %q", i, e.ID, e.Addr, e.Phase)
+			return l, numbered, fmt.Errorf("member %d: id %q, host_port %q, phase %q", i, e.ID, e.Addr, e.Phase)
 		}
 	}
-	return l, nil
+	return l, numbered, nil
 }
 
 // ID maps a database's name to the same number at every pooler.
@@ -230,7 +235,10 @@
 		}
 		heard()
 		body.open = !blank(objects.Buffered())
-		l, err := Parse(text)
+		l, numbered, err := parse(text)
+		if err == nil && !numbered { // Against any other object, or none, passing for a change of nothing.
+			err = errors.New("revision: missing")
+		}
 		if err == nil && len(l.Members) > w.limits.Members {
 			err = fmt.Errorf("%d members", len(l.Members))
 		}
