Ask once more whether an attempt may be sent when its connection is up

Seen by reading and forced by tests: a statement is written when its dial comes up, whatever has happened meanwhile.

Causes: (1) core.Leave calls an attempt off through the router, and router.end emits Cancel only where the settings allow it: with cancel false the job stays in Pool.waiting, and pool.go carry wrote it for a client that had left. (2) Pool.Changed left the jobs of a draining database as they were. (3) It closed the dials of a database that had moved or gone and began none for the jobs that waited; they ran into the connect time-out. (4) Flight SQL looked at the proof of freshness alone. (5) core.Abandon called failed what had been sent nowhere; ready was called after Stopping.

Change: Core.MaySend is asked last on both wires: the request open, its time not up, its proof good, the database not draining for half the grace or more (as the router has it), not kept off. Pool.Changed dials anew or gives the job back.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -4,6 +4,7 @@
 package core
 
 import (
+	"cmp"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -58,7 +59,8 @@
 type Member struct {
 	choice.Node
 	Name, Addr string
-	Banned     bool // by the operators; its primary's writes go on for part of the grace
+	Banned     bool          // by the operators; its primary's writes go on for part of the grace
+	Off        time.Duration // when it was first told that it drains, or is gone for good; 0: it is neither
 }
 
 // Request is what a client asks. The front fills in the exported fields.
@@ -99,7 +101,7 @@
 	Request *Request
 	Member  *Member
 	Until   time.Duration // it is waited for until then
-	By      time.Duration // it must not be written later than this; 0: at any time
+	By      time.Duration // it must not be written later than this; 0: at any time; see MaySend
 	Handle  any           // the backend's own
 
 	number int
@@ -329,16 +331,18 @@
 func (c *Core) Abandon() {
 	for _, q := range c.requests {
 		if !q.done {
-			held := q.door == doorQueued
+			routed := q.door != doorQueued
 			c.finish(q)
-			if held { // it never ran, and another pooler may take it
+			if len(q.attempts) == 0 { // it never ran, and another pooler may take it
 				q.count.Refused++
 				q.Client.Refused(0)
-				continue
+			} else {
+				q.count.Failed++
+				q.Client.Failed(Broke)
+			}
+			if routed {
+				c.push(choice.Event{Kind: choice.ClientGone, Request: q.id})
 			}
-			q.count.Failed++
-			q.Client.Failed(Broke)
-			c.push(choice.Event{Kind: choice.ClientGone, Request: q.id})
 		}
 	}
 }
@@ -524,8 +528,12 @@
 		m = &Member{}
 		c.members[e.ID] = m
 	}
+	off := m.Off
 	*m = e
 	_, m.Banned = c.bans[m.ID]
+	if m.Off = 0; e.State == choice.Draining || e.State == choice.Gone && (off > 0 || !c.settings.DrainOnly) {
+		m.Off = cmp.Or(off, c.clock())
+	}
 	for _, w := range c.watchers {
 		w.Changed(m)
 	}
@@ -633,7 +641,7 @@
 	q.attempts = append(q.attempts, try)
 	q.out++
 	c.held.Leave(q.id)
-	if q.done || q.began != nil || !c.May(try.Member) {
+	if q.done || q.began != nil || !c.may(try.Member) {
 		c.Done(try, choice.NotSent, choice.Evidence{}, nil)
 		return
 	}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -34,14 +34,16 @@
 	w.core.Probed(m, choice.OK, 0, choice.Evidence{Role: role, Position: w.now})
 }
 
-func newWorld(t *testing.T) *world {
+func newWorld(t *testing.T) *world { return newWorldOf(t, func() {}) }
+
+func newWorldOf(t *testing.T, ready func()) *world {
 	w := &world{t: t, now: 1_800_000_000 * time.Second}
 	s := choice.Settings{Routers: 1, MaxAttempts: 4, CanCancel: true, CanProbe: true, CanHedge: true, DrainGrace: time.Second,
 		ColdShare: 0.2, ColdTime: 10 * time.Second, FallMultiple: 3, FallWindow: time.Second, Classes: []choice.Class{
 			{Read: choice.AnyRead, Aim: 200 * time.Millisecond, Deadline: 5 * time.Second, Worth: 1, LateWorth: 0.2}}}
 	l := limits.For(limits.Machine{MemoryMB: 64, Sockets: 256}, 250*time.Millisecond, 15*time.Second, 5*time.Second)
 	w.core = core.New(core.Settings{Settings: s, Names: []string{"read"}}, 1, l, zerolog.Nop(),
-		func() time.Duration { return w.now }, func() {}, func() {})
+		func() time.Duration { return w.now }, func() {}, ready)
 	w.core.Attach(w, w)
 	w.core.Start()
 	var list []core.Member
@@ -123,3 +125,75 @@
 		}
 	}
 }
+
+// What was decided on and waits for its connection may be written only while it still makes sense: not for a client that has left,
+// even where attempts are not called off, not once its time is up, and to a database that drains for half of the grace only, as
+// long as the list has not taken it back.
+func TestWhatMayStillBeSent(t *testing.T) {
+	const grace = time.Second // as newWorld has it
+	begin := func() (*world, *core.Request, *core.Attempt) {
+		w := newWorld(t)
+		q := &core.Request{Front: "test", Name: "x", Group: 1, Expires: 5 * time.Second, Backend: w, Client: &client{}}
+		w.core.Submit(q)
+		w.core.Flush()
+		require.Len(t, w.out, 1)
+		require.True(t, w.core.MaySend(w.out[0]))
+		return w, q, w.out[0]
+	}
+	listed := func(w *world, a *core.Attempt, state choice.NodeState) {
+		m := *a.Member
+		m.State = state
+		w.core.List([]core.Member{m}, false)
+	}
+
+	w, q, a := begin()
+	w.core.Leave(q)
+	require.False(t, w.core.MaySend(a), "the client has left")
+
+	w, _, a = begin()
+	w.now += 5 * time.Second
+	require.False(t, w.core.MaySend(a), "its time is up")
+
+	for _, state := range []choice.NodeState{choice.Draining, choice.Gone} {
+		w, _, a = begin()
+		listed(w, a, state)
+		w.now += grace/2 - time.Millisecond
+		require.True(t, w.core.MaySend(a), "within half of the grace")
+		listed(w, a, state) // told again: it counts from the first time
+		w.now += time.Millisecond
+		require.False(t, w.core.MaySend(a), "half of the grace is over")
+		listed(w, a, choice.Ready)
+		require.True(t, w.core.MaySend(a), "it serves again")
+	}
+}
+
+// A program that is told to end before it is ready never begins to take clients in.
+func TestNotReadyOnceItEnds(t *testing.T) {
+	for _, ends := range []bool{false, true} {
+		ready := 0
+		w := newWorldOf(t, func() { ready++ })
+		require.Zero(t, ready)
+		if ends {
+			w.core.Stopping()
+		}
+		w.pass(5 * time.Second)
+		require.Equal(t, ends, ready == 0)
+	}
+}
+
+// At the end what has been sent nowhere is refused, so that its client may go elsewhere, and what may have run has failed. Each gets
+// one answer.
+func TestAbandoned(t *testing.T) {
+	w := newWorld(t)
+	sent, waits := &client{}, &client{}
+	w.core.Submit(&core.Request{Front: "test", Name: "a", Group: 1, Expires: 5 * time.Second, Backend: w, Client: sent})
+	w.core.Flush()
+	require.Len(t, w.out, 1)
+	w.core.Submit(&core.Request{Front: "test", Name: "b", Group: 1, Expires: 5 * time.Second, Backend: w, Client: waits})
+	w.core.Abandon()
+	w.core.Flush()
+	require.Equal(t, []string{"failed"}, sent.answers)
+	require.Equal(t, []string{"refused"}, waits.answers)
+	require.Len(t, w.out, 1, "nothing is sent any more")
+	require.Zero(t, w.core.Open())
+}
--- a/internal/core/off.go
+++ b/internal/core/off.go
@@ -89,9 +89,21 @@
 
 func (c *Core) lapsed() bool { return c.off.Until > 0 && c.clock() >= c.off.Until }
 
-// May tells whether anything may be begun at a database now: asked as the last thing before a statement goes out. Against a process
-// that was not let run for a while, and goes on where it was with what is not so any more: its timers come only then.
-func (c *Core) May(m *Member) bool {
+// MaySend tells whether an attempt that waited for its connection may still be written: asked as the last thing before its
+// statement goes out. Against a client that has left meanwhile where attempts are not called off, a read sent on a proof that has
+// run out, and a database that has begun to drain.
+func (c *Core) MaySend(a *Attempt) bool {
+	now := c.clock()
+	return !a.done && !a.Request.done && now < a.Until && (a.By == 0 || now <= a.By) && c.may(a.Member)
+}
+
+// may tells whether anything may be begun at a database now. Against a process that was not let run for a while, and goes on where
+// it was with what is not so any more: its timers come only then. To one that drains goes what was decided on before, or what only
+// it can take, for half of the grace.
+func (c *Core) may(m *Member) bool {
+	if m.Off > 0 && c.clock()-m.Off >= c.settings.DrainGrace/2 {
+		return false
+	}
 	off := c.off.All || c.off.Now[m.ID]
 	if c.lapsed() {
 		off = c.off.Then[m.ID]
--- a/internal/core/operators.go
+++ b/internal/core/operators.go
@@ -43,7 +43,7 @@
 	}
 	f.Door, f.Sights, f.Asks, f.Blind = c.Door(), c.sights(), maps.Clone(c.asks), c.Count.Blind
 	now := c.clock()
-	if c.ready != nil && (now >= c.readyBy || c.listed && f.Members > 0 && c.router.Leads()) {
+	if c.ready != nil && !c.stopping && (now >= c.readyBy || c.listed && f.Members > 0 && c.router.Leads()) {
 		c.ready()
 		c.ready = nil
 	}
--- a/internal/flight/backend.go
+++ b/internal/flight/backend.go
@@ -157,10 +157,10 @@
 	if !t.connect(cc) {
 		return choice.NoConnect, nil
 	}
-	now := t.b.core.Now()
-	if t.a.By > 0 && now > t.a.By { // Against a read sent on a proof that has run out meanwhile.
+	if !t.ask(t.b.core.MaySend) {
 		return choice.NotSent, nil
 	}
+	now := t.b.core.Now()
 	d, err := t.s.descriptor()
 	if err != nil {
 		return choice.NotSent, nil
@@ -200,7 +200,7 @@
 	}
 }
 
-var errStale = status.Error(codes.FailedPrecondition, "the proof of freshness has run out")
+var errMoot = status.Error(codes.FailedPrecondition, "the statement may not be sent on any more")
 
 var errEndpoints = errors.New("the database's answer has not one endpoint of its own")
 
@@ -217,8 +217,8 @@
 	if len(info.GetEndpoint()) != 1 || len(info.Endpoint[0].GetLocation()) > 0 {
 		return errEndpoints
 	}
-	if t.a.By > 0 && t.b.core.Now() > t.a.By { // it has run out since; nothing is sent twice for a read
-		return errStale
+	if !t.ask(t.b.core.MaySend) { // what allowed it has run out since; nothing is sent twice for a read
+		return errMoot
 	}
 	stream, err := client.DoGet(ctx, info.Endpoint[0].Ticket)
 	if err != nil {
@@ -241,7 +241,7 @@
 			continue
 		}
 		if !begun {
-			if begun = t.began(); !begun {
+			if begun = t.ask(t.b.core.Began); !begun {
 				return t.over()
 			}
 			if schema != nil && !t.pass(schema) {
@@ -257,10 +257,11 @@
 	}
 }
 
-// began binds the request to this attempt before the client sees anything of it.
-func (t *try) began() bool {
+// ask asks the core about the attempt, as whether it may be sent; and it binds the request to it before the client sees anything of
+// its answer.
+func (t *try) ask(what func(*core.Attempt) bool) bool {
 	ok := make(chan bool, 1)
-	t.b.do(func() { ok <- t.b.core.Began(t.a) })
+	t.b.do(func() { ok <- what(t.a) })
 	select {
 	case yes := <-ok:
 		return yes
--- a/internal/net/pool.go
+++ b/internal/net/pool.go
@@ -110,6 +110,14 @@
 	if m.Addr != "" {
 		s.addr = m.Addr
 	}
+	if m.State == choice.Gone { // Against jobs that wait for dials that were just closed: the router knows others.
+		for len(s.waiting) > 0 {
+			p.drop(s.waiting[0], choice.NotSent)
+		}
+	}
+	for s.dialing < len(s.waiting) { // those whose dials were closed wait for one to where the database is now
+		p.dial(s)
+	}
 }
 
 // Retune takes in how long databases take to connect and keep idle connections. What waits already waits as before.
@@ -394,7 +402,7 @@
 	p := l.pool
 	now := p.core.Now()
 	a := j.attempt
-	if a != nil && (a.By > 0 && now > a.By || !p.core.May(a.Member)) { // Against a read sent on a proof that has run out meanwhile.
+	if a != nil && !p.core.MaySend(a) {
 		p.Count.TooLate++
 		l.free()
 		p.finish(j, choice.NotSent, nil)
