End connections and the program without a reset, a lost request or a moved end

Causes: (1) net/front.go end closed a connection right after its last answer, and free looked for unread bytes before: what came between made the close a reset. (2) limits.For had Stop at 2 s at the least, SIGKILL may come 0.7 s after the longest deadline: with deadlines under 1.3 s the program outlived its time. (3) main.stop read p.limits.Stop at each look, which SIGHUP replaces. (4) One channel of four took all signals: four SIGHUP behind a reload that waits for its file, and SIGTERM was dropped; also it waited for the reload. (5) Between driver.Stop and the end of the loop a request could be read, sent and lost. (6) A replay began before the list was known: with a second's delay there, all its 6 requests were refused; TestWrittenAndRead had met it on a busy machine (1 of 6). (7) A failing accept logged a line every 5 ms at each of four places.

Change: our side is shut down first, the rest when the client has ended its own or after 0.25 s; what comes meanwhile is dropped. The end has fixed times; at its end nothing more is taken, what was read is refused, what is open fails 0.1 s before, and clients are waited for. Signals have a place each.

Ruled out: gnet stops reading behind a full pipeline (it reads on, so closes are seen).

Tests in crossings_test.go: run without the mends six of the seven fail; TestNothingIsLostAtTheEnd passes on both.

--- a/cmd/capercove/main.go
+++ b/cmd/capercove/main.go
@@ -125,8 +125,7 @@
 }
 
 func run(log zerolog.Logger) error {
-	signals := make(chan os.Signal, 4) // From here on: SIGHUP would end the program otherwise.
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
+	signals := listen() // From here on: SIGHUP would end the program otherwise.
 	cfg, err := config.Load()
 	if err != nil {
 		return err
@@ -219,17 +218,12 @@
 		p.store.Put("config/"+cfg.Name, cfg.Public())
 		go p.driver.Do(func() { p.keep(cfg.Name) })
 	}
-	if own.Pcap.Read != "" {
-		replay := &pcap.Replay{Config: own.Pcap, Limits: l, Log: log, Core: p.core, Intake: in, Backend: p.pool,
-			Do: p.driver.Do, Stop: p.stops}
-		go replay.Run()
-	}
 	if own.Fleet.Enabled {
 		if err := p.join(); err != nil {
 			return err
 		}
 	}
-	go p.signals(signals)
+	go p.follow(signals)
 	log.Info().Str("listen", cfg.Listen).Int("members", len(cfg.Known.Members)).Msg("starting")
 	start := func() {
 		if own.Statements.On() {
@@ -246,6 +240,11 @@
 		if p.beside != nil {
 			go p.settle(ctx)
 		}
+		if own.Pcap.Read != "" { // behind the list: before, the groups that it asks for are not there
+			replay := &pcap.Replay{Config: own.Pcap, Limits: l, Log: log, Core: p.core, Intake: in, Backend: p.pool,
+				Do: p.driver.Do, Stop: p.stops}
+			go replay.Run()
+		}
 	}
 	if err := p.driver.Run(start); err != nil {
 		return fmt.Errorf("event loop: %w", err)
@@ -435,17 +434,30 @@
 	return func() time.Duration { return epoch + time.Since(start) }
 }
 
-func (p *program) signals(signals <-chan os.Signal) {
-	stopping := false
-	for s := range signals {
-		switch {
-		case s == syscall.SIGUSR1:
+// signals are those that are waited for. Each kind has a place of its own: of several that have yet to be looked at one is enough,
+// and none takes the place of another.
+type signals struct{ end, reload, print chan os.Signal }
+
+func listen() signals {
+	s := signals{make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan os.Signal, 1)}
+	signal.Notify(s.end, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(s.reload, syscall.SIGHUP)
+	signal.Notify(s.print, syscall.SIGUSR1)
+	return s
+}
+
+// follow does what the signals say. The end does not wait for a reload that is under way, and a second one changes nothing.
+func (p *program) follow(s signals) {
+	go func() {
+		<-s.end
+		p.driver.Do(p.stop)
+	}()
+	for {
+		select {
+		case <-s.print:
 			p.driver.Do(func() { p.counters("counters") })
-		case s == syscall.SIGHUP:
+		case <-s.reload:
 			p.reload()
-		case !stopping:
-			stopping = true
-			p.driver.Do(p.stop)
 		}
 	}
 }
@@ -500,7 +512,9 @@
 }
 
 // stop ends the program. For a while it serves as ever: in a rolling restart the one before may not be back yet, and
-// clients sent away would find nobody. Then it finishes what was taken and closes each client between requests.
+// clients sent away would find nobody. Then it finishes what was taken and closes each client between requests. When all is
+// answered, or the time is nearly up, it takes nothing more, fails what is open, and waits for the clients to read their answers. The
+// times are those of the moment in which it was told to end, whatever is reloaded since.
 func (p *program) stop() {
 	p.log.Info().Int("open", p.core.Open()).Msg("stopping")
 	close(p.stops)
@@ -508,12 +522,12 @@
 	if p.peers != nil {
 		p.peers.Stopping()
 	}
-	begun := p.core.Now()
-	draining := false
-	linger := p.limits.Linger
+	begun, linger := p.core.Now(), p.limits.Linger
+	by := begun + p.limits.Stop
+	draining, ending, alone := false, false, false
 	if p.shared { // Others accept: whom this process has not taken in is theirs, at once.
 		linger = p.limits.Stop
-		p.driver.Refuse(func() { linger = 0 })
+		p.driver.Refuse(func() { linger, alone = 0, true })
 	}
 	var check func()
 	check = func() {
@@ -525,12 +539,15 @@
 				go p.flight.Stop()
 			}
 		}
-		if now >= begun+p.limits.Stop {
-			p.core.Abandon()
-			p.driver.Stop()
-			return
+		flown := p.flight == nil || p.flight.Stopped()
+		if !ending && (now >= by-p.limits.StopLeaving || draining && p.core.Open() == 0 && p.front.Idle() && flown) {
+			ending = true
+			p.front.Stop(p.core.Abandon)
+			if !p.shared {
+				p.driver.Refuse(func() { alone = true })
+			}
 		}
-		if draining && p.core.Open() == 0 && p.front.Idle() && (p.flight == nil || p.flight.Stopped()) {
+		if now >= by || ending && alone && flown && p.front.Left() {
 			p.driver.Stop()
 			return
 		}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -71,7 +71,9 @@
 }
 
 // begin begins an answer without a length: the end of the connection would be its end.
-func (c *call) begin() *call { return c.say("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n") }
+func (c *call) begin() *call {
+	return c.say("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n")
+}
 
 func (c *call) say(text string) *call {
 	_, err := c.Write([]byte(text))
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -74,6 +74,7 @@
 	AcceptBlocks   time.Duration // an accept on a socket that others hold, too, waits in the system for so long
 	Linger         time.Duration // after SIGTERM all are served as ever for this long
 	Stop           time.Duration // after SIGTERM the program ends by then: SIGKILL may come after the longest deadline
+	StopLeaving    time.Duration // ... and what is open so long before fails, for its answer to reach the client
 	ReadyWait      time.Duration // it is ready by then, also if no list has come or a primary is unknown
 	Figures        time.Duration // the operators' figures are this old at most
 	Bans           time.Duration // another process's change of the bans is seen by then
@@ -99,7 +100,7 @@
 // are idle for keepalive, and for clients that wait no longer than this. A dial holds two descriptors for a moment,
 // hence the reserve.
 func For(m Machine, connect, keepalive, longest time.Duration) Limits {
-	stop := max(2*time.Second, min(longest, 3*time.Second)+500*time.Millisecond)
+	stop := min(longest, 3*time.Second) + 500*time.Millisecond
 	const leaving = 8
 	sockets := max(64, m.Sockets-48-leaving)
 	clients, servers := sockets*7/10, sockets*3/10
@@ -175,8 +176,9 @@
 		WatchAnswer:    2500 * time.Millisecond,
 		WatchSilence:   2800 * time.Millisecond, // a line comes every 2 s; what a silent watch misses binds 6 s later
 		AcceptBlocks:   10 * time.Millisecond,
-		Linger:         stop - 1500*time.Millisecond,
+		Linger:         max(400*time.Millisecond, stop-1500*time.Millisecond), // for so long a front goes on to send new connections
 		Stop:           stop,
+		StopLeaving:    100 * time.Millisecond,
 		ReadyWait:      time.Second,
 		Figures:        100 * time.Millisecond,
 		Bans:           100 * time.Millisecond,
--- /dev/null
+++ b/internal/net/crossings_test.go
@@ -0,0 +1,252 @@
+package net_test
+
+import (
+	"fmt"
+	"net"
+	"regexp"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"capercove/internal/limits"
+	"capercove/internal/pg"
+	"capercove/internal/testbed"
+)
+
+// peer is a database whose every step the test takes: what the program sends waits unread, and unanswered, until the test says so.
+type peer struct {
+	t     *testing.T
+	addr  string
+	conns chan net.Conn
+}
+
+func newPeer(t *testing.T) *peer {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	p := &peer{t, l.Addr().String(), make(chan net.Conn, 64)}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { c.Close() })
+			p.conns <- c
+		}
+	}()
+	return p
+}
+
+// in puts the peer in the place of a database.
+func (p *peer) in(i int) testbed.Option { return func(b *testbed.Bed) { b.Known[i].Addr = p.addr } }
+
+// next is the next connection that the program opens.
+func (p *peer) next() net.Conn {
+	p.t.Helper()
+	select {
+	case c := <-p.conns:
+		c.SetDeadline(time.Now().Add(testbed.Patience))
+		return c
+	case <-time.After(testbed.Patience):
+		require.FailNow(p.t, "no connection")
+		return nil
+	}
+}
+
+// statements lets the startup of a connection end, answers all that comes as a primary does, and returns the statements up to the
+// first in which a text stands.
+func (p *peer) statements(c net.Conn, last string) (got []string) {
+	p.t.Helper()
+	session, buf := pg.NewSession(1<<20), make([]byte, 64<<10)
+	for {
+		n, err := c.Read(buf)
+		require.NoError(p.t, err, "after %q", got)
+		session.Feed(buf[:n])
+		for command, ok := session.Next(); ok; command, ok = session.Next() {
+			reply := command.Reply
+			if command.Query != "" {
+				reply = pg.AppendValue(pg.AppendParameter(nil, "mode", "read-write"), fmt.Sprintf("x0=%d,x1=1", time.Now().Unix()))
+			}
+			_, err := c.Write(reply)
+			require.NoError(p.t, err)
+			if command.Query != "" && command.Query != "SHOW stats" {
+				got = append(got, command.Query)
+			}
+			if strings.Contains(command.Query, last) {
+				return got
+			}
+		}
+	}
+}
+
+// patient are settings by which a connection may come up late, with attempts that are called off or not.
+func patient(cancel bool) testbed.Option {
+	return func(b *testbed.Bed) {
+		b.Settings = strings.Replace(b.Settings, `"cancel":true,"connectTimeoutMs":250`,
+			fmt.Sprintf(`"cancel":%v,"connectTimeoutMs":%d`, cancel, (10*testbed.Patience).Milliseconds()), 1)
+	}
+}
+
+// A client leaves while its request waits for a connection to come up: nothing is sent for it when that does, whether the site calls
+// attempts off or not. The connection serves the next one.
+func TestClientLeavesWhileADialIsUnderWay(t *testing.T) {
+	for _, cancel := range []bool{true, false} {
+		db := newPeer(t)
+		b := testbed.Start(t, patient(cancel), db.in(0))
+		first, second := b.Client(), b.Client()
+		first.Send(testbed.Query(b.Statement("write", "first", testbed.Patience)))
+		conn := db.next()
+		first.Close()
+		b.Counters(func(c testbed.Counters) bool { return c.Core.Fronts["postgres"].Gone == 1 })
+		second.Send(testbed.Query(b.Statement("write", "second", testbed.Patience)))
+		b.Counters(func(c testbed.Counters) bool { return c.Core.Fronts["postgres"].Taken == 2 })
+		got := db.statements(conn, "second")
+		require.Len(t, got, 1, "cancel %v", cancel)
+		require.Contains(t, got[0], "second", "cancel %v", cancel)
+		require.True(t, second.Next().Complete)
+	}
+}
+
+// The list moves a database while a request waits for a connection to it: the dial to the old address is given up, and another
+// begun to where it is now.
+func TestDatabaseMovesWhileADialIsUnderWay(t *testing.T) {
+	db := newPeer(t)
+	b := testbed.Start(t, patient(true), db.in(0))
+	c := b.Client()
+	c.Send(testbed.Query(b.Statement("write", "a", 4*testbed.Patience)))
+	db.next()
+	b.List(b.Entry(0, "SERVING"))
+	require.Equal(t, "from db-0", string(c.Next().Value))
+}
+
+// A connection that the program ends may have bytes on their way to it. They are taken in and dropped, and the client, which has its
+// answer, sees the end and no reset: that could have destroyed the answer.
+func TestBytesThatCrossTheEnd(t *testing.T) {
+	program := testbed.Variant(t, testbed.Edit{File: "internal/limits/limits.go", // so that no stall of the machine ends the wait
+		Old: "ClientLeaving:  250 * time.Millisecond", New: "ClientLeaving:  time.Hour"})
+	b := testbed.Start(t, testbed.WithProgram(program))
+	c := b.Client()
+	c.Send([]byte("!\x00\x00\x00\x04"))
+	require.Equal(t, pg.CodeProtocol, c.Next().Code)
+	one := make([]byte, 1)
+	for range 3 {
+		c.SetReadDeadline(time.Now().Add(testbed.Patience))
+		_, err := c.Read(one)
+		require.ErrorContains(t, err, "EOF", "no reset")
+		c.Send(testbed.Query(b.Statement("write", "late", second)))
+	}
+	require.Empty(t, b.Databases[0].Got())
+	c.Close()
+	b.Eventually(func() bool { return b.Client().Ask(b.Statement("write", "a", second)).Complete }, "others are served")
+}
+
+var idOf = regexp.MustCompile(`id=([0-9a-f]+)`)
+
+// Clients go on sending up to the end of a program that was told to end, on connections of before and on new ones. What reached a
+// database was answered to its client, and what was not answered reached none.
+func TestNothingIsLostAtTheEnd(t *testing.T) {
+	b := testbed.Start(t)
+	var mu sync.Mutex
+	answered, n := map[string]bool{}, 0
+	statement := func() (sql, id string) {
+		mu.Lock()
+		defer mu.Unlock()
+		n++
+		sql = b.Statement([]string{"read", "report", "write"}[n%3], "a", second)
+		return sql, idOf.FindStringSubmatch(sql)[1]
+	}
+	var clients sync.WaitGroup
+	for range 24 {
+		clients.Go(func() {
+			for {
+				c, let := b.Reach(testbed.Patience)
+				if !let {
+					return
+				}
+				for {
+					sql, id := statement()
+					if _, err := c.Write(testbed.Query(sql)); err != nil {
+						break
+					}
+					if _, err := c.TryNext(testbed.Patience); err != nil {
+						break
+					}
+					mu.Lock()
+					answered[id] = true
+					mu.Unlock()
+				}
+				c.Close()
+			}
+		})
+	}
+	b.Eventually(func() bool { mu.Lock(); defer mu.Unlock(); return len(answered) > 500 }, "requests are answered")
+	b.Signal(syscall.SIGTERM)
+	b.Signal(syscall.SIGTERM) // a second one changes nothing
+	require.NoError(t, b.Wait())
+	clients.Wait()
+	for _, d := range b.Databases {
+		for _, sql := range d.Got() {
+			require.True(t, answered[idOf.FindStringSubmatch(sql)[1]], "it reached %s and its client got no answer: %s", d.ID, sql)
+		}
+	}
+}
+
+// New settings that come after the word to end do not change when the end is: here what is open has a minute and not the two seconds
+// that the new settings would leave it.
+func TestReloadBesideTheEnd(t *testing.T) {
+	program := testbed.Variant(t, testbed.Edit{File: "internal/limits/limits.go",
+		Old: "min(longest, 3*time.Second)", New: "min(longest, time.Hour)"})
+	long := func(b *testbed.Bed) {
+		b.Settings = strings.Replace(b.Settings, `"deadlineMs":10000`, `"deadlineMs":600000`, 1)
+	}
+	b := testbed.Start(t, testbed.WithProgram(program), long)
+	c, held := b.Client(), b.Client()
+	held.Send(testbed.Query(b.Statement("report", "hold", 10*testbed.Patience)))
+	b.Eventually(func() bool { return len(b.Databases[0].Got())+len(b.Databases[1].Got()) == 1 }, "the report is out")
+	b.Signal(syscall.SIGTERM)
+	b.Eventually(func() bool { return b.Line("stopping") != "" }, "it has the signal")
+	b.Settings = strings.NewReplacer(`"deadlineMs":600000`, `"deadlineMs":600`, `"aimMs":5000`, `"aimMs":500`, `"deadlineMs":3000`,
+		`"deadlineMs":1000`).Replace(b.Settings)
+	b.Configure("")
+	b.Signal(syscall.SIGHUP)
+	b.Eventually(func() bool { return b.Line("reloaded") != "" }, "it has the new settings")
+	for _, d := range b.Databases {
+		d.Cores(1)
+	}
+	for range 125 { // the databases' own work: 2.5 s of it
+		require.True(t, c.Ask(b.Statement("write", "takes20", testbed.Patience)).Complete)
+	}
+	for _, d := range b.Databases {
+		d.Release()
+	}
+	require.NotEmpty(t, held.Next().Value)
+}
+
+// A configuration that cannot be read to its end holds a reload up, and not the word to end, however many signals wait before it.
+func TestEndDuringAReload(t *testing.T) {
+	b := testbed.Start(t)
+	b.ConfigurePipe()
+	for range 50 {
+		b.Signal(syscall.SIGHUP)
+		time.Sleep(time.Millisecond) // so that the system does not make one of them all
+	}
+	b.Signal(syscall.SIGTERM)
+	require.NoError(t, b.Wait())
+}
+
+// Whatever the longest deadline, the program ends before it may be killed, serves new connections for as long as a front may send
+// any, and leaves what was taken some time.
+func TestTimesOfTheEnd(t *testing.T) {
+	for longest := 100 * time.Millisecond; longest < 20*time.Second; longest += 100 * time.Millisecond {
+		l := limits.For(limits.Machine{MemoryMB: 64, Sockets: 512}, 250*time.Millisecond, 15*time.Second, longest)
+		killed := min(longest, 3*time.Second) + 700*time.Millisecond
+		require.LessOrEqual(t, l.Stop, killed-200*time.Millisecond, longest)
+		require.GreaterOrEqual(t, l.Linger, 400*time.Millisecond, longest)
+		require.Less(t, l.Linger, l.Stop-l.StopLeaving, longest)
+	}
+}
--- a/internal/net/driver.go
+++ b/internal/net/driver.go
@@ -42,6 +42,7 @@
 	due       time.Duration // when the next tick is to come
 	used      time.Duration // CPU time at the last one
 	accepting sync.WaitGroup
+	warned    atomic.Int64 // time of the last line on an accept that failed
 }
 
 // New returns a driver for clients of a listener.
@@ -124,8 +125,11 @@
 					return
 				case errors.Is(err, syscall.EADDRINUSE), errors.Is(err, syscall.EADDRNOTAVAIL), errors.Is(err, syscall.EACCES):
 					d.log.Fatal().Err(err).Msg("listen")
-				case err != nil: // Against a busy loop while descriptors are short.
-					d.log.Warn().Err(err).Msg("accept")
+				case err != nil: // Against a busy loop, and a log of nothing else, while descriptors are short.
+					now, last := int64(d.Core.Now()), d.warned.Load()
+					if now-last >= int64(d.limits.LogEvery) && d.warned.CompareAndSwap(last, now) {
+						d.log.Warn().Err(err).Msg("accept")
+					}
 					time.Sleep(d.limits.Tick)
 				default:
 					d.client.EnrollContext(c, newcomer{})
--- a/internal/net/front.go
+++ b/internal/net/front.go
@@ -29,8 +29,9 @@
 	opened   uint64
 	clients  map[*client]struct{}
 	mute     int // of them that have yet to start
-	leaving  int // beyond them, being turned away
+	leaving  int // beyond them: their end has gone out, and the client's is waited for
 	draining bool
+	stopping bool                     // nothing that is read is sent on any more
 	held     int                      // bytes that the connections hold
 	logged   map[string]time.Duration // when each kind of bad input was last logged
 }
@@ -71,13 +72,20 @@
 	if len(f.clients)-f.mute > f.limits.ClientsCrowd {
 		least = f.limits.ClientBrief
 	}
+	staying := 0
 	for k := range f.clients {
-		if len(f.clients) <= f.limits.ClientsKept {
+		if !k.closing {
+			staying++
+		}
+	}
+	for k := range f.clients {
+		if staying <= f.limits.ClientsKept {
 			break
 		}
-		if !k.mute && now-k.since >= least && k.free() {
+		if !k.mute && !k.closing && now-k.since >= least && k.free() {
 			f.Count.Expired++
-			closeNow(k.conn)
+			staying--
+			k.end()
 		}
 	}
 	f.core.Wheel.At(now+f.limits.ClientIdle/32, f.sweep)
@@ -97,6 +105,7 @@
 	patient *wheel.Timer  // of its startup, or of an incomplete message
 	timer   *wheel.Timer  // of later
 	closing bool          // it ends when all has gone out
+	ended   bool          // our end has gone out
 	begun   time.Duration // the incomplete message
 	unread  int           // bytes that it had yet to take when last looked at
 	moved   time.Duration // when that was last another number
@@ -134,11 +143,13 @@
 	f.mute++
 	// Against connections that are opened and never used.
 	k.patient = f.core.Wheel.At(k.since+f.limits.Startup, func() { closeNow(c) })
+	if f.stopping { // it was accepted in the moment in which the listener was closed
+		k.shut()
+	}
 	return k
 }
 
-// turnAway refuses a connection that there is no room for. Its end comes a little later: at once, it would destroy
-// the refusal together with what the client has sent meanwhile, and a request would be lost.
+// turnAway refuses a connection that there is no room for.
 func (f *Front) turnAway(k *client) {
 	f.Count.TurnedAway++
 	f.bad("too many connections")
@@ -150,11 +161,41 @@
 	}
 	f.leaving++
 	k.conn.Write(pg.AppendError(nil, "FATAL", pg.CodeFull, "too many connections", ""))
-	if k.gone { // the write found it closed
+	if !k.gone { // the write may have found it closed
+		k.shut()
+	}
+}
+
+// shut ends our side of a connection, and the whole of it when the client has ended its own, or has not for a while. Against a
+// close over bytes that are unread, or come in that moment: it is a reset, and destroys what the client has yet to read, such as
+// its answer. What comes from here on is read and dropped: the client sees it cross the close.
+func (k *client) shut() {
+	if k.ended {
 		return
 	}
+	k.closing, k.ending, k.ended = true, true, true
+	k.patient.Stop()
 	unix.Shutdown(k.conn.Fd(), unix.SHUT_WR)
-	k.patient = f.core.Wheel.At(f.core.Now()+f.limits.ClientLeaving, func() { closeNow(k.conn) })
+	k.patient = k.front.core.Wheel.At(k.front.core.Now()+k.front.limits.ClientLeaving, func() { closeNow(k.conn) })
+}
+
+// vacate gives a client's place in the table to another while its end is on its way, if there is room beside the table.
+func (f *Front) vacate(k *client) bool {
+	if f.leaving >= f.limits.Leaving {
+		return false
+	}
+	f.leaving++
+	f.forget(k)
+	return true
+}
+
+// forget takes a client out of the table.
+func (f *Front) forget(k *client) {
+	delete(f.clients, k)
+	if k.mute {
+		k.mute = false
+		f.mute--
+	}
 }
 
 // evict closes the connection that has been of no use for the longest. Against clients that ask once and stay, and
@@ -165,7 +206,7 @@
 	for k := range f.clients {
 		least := f.limits.ClientIdle
 		switch {
-		case k.bad || k.mute && f.mute > f.limits.Mute/4: // so many will not all be about to start
+		case k.closing || k.bad || k.mute && f.mute > f.limits.Mute/4: // so many will not all be about to start
 			least = 0
 		case k.mute:
 			least = f.limits.ClientMute
@@ -178,7 +219,11 @@
 		return false
 	}
 	f.Count.Evicted++
-	closeNow(oldest.conn)
+	if f.vacate(oldest) {
+		oldest.shut()
+	} else {
+		closeNow(oldest.conn)
+	}
 	return true
 }
 
@@ -248,6 +293,9 @@
 	f := k.front
 	f.Count.Commands++
 	k.used = k.used || c.Query != ""
+	if f.stopping && c.Query != "" { // it has been read, and is owed an answer; none can come from a database any more
+		c = pg.Command{Reply: pg.AppendRefusal(nil, 0)}
+	}
 	s := &slot{client: k, answer: c.Reply, ready: true, last: c.Close}
 	k.slots = append(k.slots, s)
 	k.ending = k.ending || c.Close
@@ -428,12 +476,12 @@
 	return len(k.slots) == 0 && k.session.Held() == 0 && k.conn.OutboundBuffered() == 0 && silent(k.conn)
 }
 
-// end closes the connection once all that was written has gone out: gnet would drop what the socket does not
-// take at once. A client that does not read is closed by check.
+// end ends the connection once all that was written has gone out: gnet would drop what the socket does not take at once. A
+// client that does not read is closed by check.
 func (k *client) end() {
 	k.closing, k.ending = true, true
 	if k.conn.OutboundBuffered() == 0 {
-		closeNow(k.conn)
+		k.shut()
 	} else {
 		k.check()
 	}
@@ -472,10 +520,7 @@
 	if _, counted := k.front.clients[k]; !counted {
 		k.front.leaving--
 	}
-	delete(k.front.clients, k)
-	if k.mute {
-		k.front.mute--
-	}
+	k.front.forget(k)
 	for _, s := range k.slots {
 		if s.request != nil && !s.ready {
 			k.front.core.Leave(s.request)
@@ -488,7 +533,7 @@
 func (f *Front) Drain() {
 	f.draining = true
 	for k := range f.clients {
-		if k.idle() {
+		if !k.closing && k.idle() {
 			k.end()
 		}
 	}
@@ -497,9 +542,28 @@
 // Idle tells whether no client is owed an answer or has sent what is yet to be read.
 func (f *Front) Idle() bool {
 	for k := range f.clients {
-		if k.session.Started() && !k.idle() || k.conn.OutboundBuffered() > 0 {
+		if !k.closing && k.session.Started() && !k.idle() || k.conn.OutboundBuffered() > 0 {
 			return false
 		}
 	}
 	return true
 }
+
+// Stop ends all connections: nothing that is read from here on is sent on. What has been read and not been taken is refused; what
+// the core has taken, abandon gives its answers. Against a request that is taken in the moment in which the program ends, and is
+// lost with it.
+func (f *Front) Stop(abandon func()) {
+	f.draining, f.stopping = true, true
+	abandon()
+	for k := range f.clients {
+		if k.closing {
+			continue
+		}
+		if k.read(); !k.gone && !k.closing {
+			k.end()
+		}
+	}
+}
+
+// Left tells whether no connection is left.
+func (f *Front) Left() bool { return len(f.clients) == 0 && f.leaving == 0 }
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -182,6 +182,12 @@
 	require.NoError(b.T, os.WriteFile(b.own, []byte(b.Tables), 0o600))
 }
 
+// ConfigurePipe puts a pipe that nobody writes in the place of the configuration: who reads it waits.
+func (b *Bed) ConfigurePipe() {
+	require.NoError(b.T, os.Remove(b.config))
+	require.NoError(b.T, unix.Mkfifo(b.config, 0o600))
+}
+
 // MoveDiscovery ends discovery and starts it at a new address, where it is at this revision.
 func (b *Bed) MoveDiscovery(revision uint64) {
 	b.discovery.Listener.Close()
@@ -443,6 +449,12 @@
 	return r
 }
 
+// TryNext is Next for a connection that may end, and for any goroutine.
+func (c *Client) TryNext(within time.Duration) (pg.Reply, error) {
+	c.within = within
+	return c.next()
+}
+
 func (c *Client) next() (pg.Reply, error) {
 	link := pg.NewLink(8<<20, 8<<20, 8<<20)
 	if c.started { // as the link sees it: the answer to the startup ends with the first ReadyForQuery
