Ask for the list once at a start, again at once after a refusal, and watch pushed lists

Causes, each followed by a line for each list call, send and byte of an answer: (1) discovery.New took a known list of revision 0 for none, so each of 32 poolers made two calls at the start, which hold the service up. (2) That service answers 8 calls a second in turn and turns away at once, with 503, what would wait over 2 s (18 calls in 0.2 to 2 s, each answered within 5 ms); choice.go took that for a call that had waited in vain and rested 2 to 4 s. (3) choice asks for the list only where the settings say on_request, and nobody else does on sockets: where it is pushed, the pooler never asked. (4) Where sessions are kept, a read knew a write of its session only by an answer that came whole, with its commit: request read 0.7 s after write had gone out, whose answer was written and reset on the way (0 bytes came). (5) lost is the attempt that waited for its dial behind a final answer, of the commit before.

Ruled out: lists that came and were not applied; sends decided before the list; positions misread (the commit told fits).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -10,6 +10,7 @@
 
 	"capercove/internal/capacity"
 	"capercove/internal/quota"
+	"capercove/internal/session"
 )
 
 const ms = time.Millisecond
@@ -133,11 +134,10 @@
 	groups             []*group // by number
 	requests           map[RequestID]*request
 	open               []*request // by arrival
-	sessions           map[uint64]time.Duration
-	oldest             time.Duration // commits of forgotten sessions are no later than this
-	extra              float64       // second copies and retries that may still be spent
-	probes             float64       // probes that may still be spent
-	rate               float64       // completions a second on a warm node, in the mean
+	writes             session.Writes
+	extra              float64 // second copies and retries that may still be spent
+	probes             float64 // probes that may still be spent
+	rate               float64 // completions a second on a warm node, in the mean
 	doubt              *node
 	walks, turn        uint64 // walks of rings so far; the node that watch begins with
 	quotas             quota.Quotas
@@ -146,16 +146,15 @@
 	tightest           time.Duration // bound on age of all classes
 	nextTick, nextLoop time.Duration
 	bans               map[NodeID]time.Duration
-	askAt, askRest     time.Duration // when to subscribe, negative: done; rest after a loss
+	askAt, asked       time.Duration // when to subscribe, negative: done; since when it is unanswered
 	out                []Action
 }
 
 // New returns a router that knows nothing but its settings.
 func New(s Settings, seed uint64) *Router {
 	r := &Router{seed: seed, size: 1, byID: map[NodeID]*node{}, requests: map[RequestID]*request{},
-		sessions: map[uint64]time.Duration{}, extra: extraMost / 2}
+		writes: session.New(), extra: extraMost / 2}
 	r.retune(s)
-	r.askRest = r.askOver()
 	return r
 }
 
@@ -179,8 +178,11 @@
 			r.ban(e.Bans)
 		case ListFailed:
 			over := r.askOver()
-			r.askAt = now + r.askRest + time.Duration(mix(r.seed^uint64(now))%uint64(over))
-			r.askRest = over
+			wait := time.Duration(mix(r.seed^uint64(now)) % uint64(over))
+			if r.asked == 0 || now-r.asked < pauseFirst { // a watch broke, or it was turned away at once
+				over, wait = 0, wait/2
+			}
+			r.askAt = now + over + wait
 		}
 	}
 	for i := range events {
@@ -223,15 +225,15 @@
 
 // ---- The node list
 
-// askOver is the time over which routers that lost the list together spread their next calls. After a call
-// that failed, as much passes first without any: a service that answers in turn would never get through with
-// those that gave up. It ends well before what the list has to tell binds those that wait.
+// askOver is the time over which routers spread their next calls for the list after one that waited in
+// vain, when as much has passed without any: a service that answers in turn would never get through with
+// those that gave up. After another loss half of it does: nobody waits, or being turned away cost nothing.
 func (r *Router) askOver() time.Duration {
 	return min(max(pauseFirst, time.Duration(r.set.Routers)*askEach), cmp.Or(r.set.ListBinds/3, pauseMost))
 }
 
 func (r *Router) list(entries []Node, full bool) {
-	r.askRest = 0
+	r.asked = 0
 	if full {
 		for _, n := range r.nodes {
 			if !slices.ContainsFunc(entries, func(e Node) bool { return e.ID == n.ID }) {
@@ -490,9 +492,8 @@
 	case class.Read == FreshRead:
 		q.need = r.now
 	case class.Read == SessionRead:
-		q.need = max(a.LastWrite, r.sessions[a.Session])
-		if q.need == 0 && r.set.KeepSessions {
-			q.need = r.oldest
+		if q.need = a.LastWrite; r.set.KeepSessions {
+			q.need = max(q.need, r.writes.Need(a.Session, r.now))
 		}
 	}
 	r.requests[id] = q
@@ -553,8 +554,8 @@
 	if o.Status != NotSent && o.Status != Cancelled && !(t.lost && o.Status == TimedOut) {
 		r.sample(n, q, o)
 	}
-	if q.class.Read == Write && o.Status == OK && q.Session != 0 {
-		r.sessions[q.Session] = max(r.sessions[q.Session], o.Note.Position)
+	if q.class.Read == Write {
+		r.writes.Ended(q.Session, !o.Status.NeverRan(), cmp.Or(o.Note.Position, r.now))
 	}
 	if q.done || o.Final {
 		r.end(q)
@@ -617,7 +618,9 @@
 	}
 	q.tries = append(q.tries, attempt{n: n, at: r.now, pending: true, behind: r.crowd(n)})
 	r.book(n, 1)
-	q.out++
+	if q.out++; q.class.Read == Write {
+		r.writes.Sent(q.Session)
+	}
 	var by time.Duration // Proof of freshness may run out while a connection is opened.
 	if q.class.Read == BoundedRead && n.role != Primary && r.set.StaleReads == StaleAnswered {
 		by = n.position + q.class.MaxAge
@@ -793,7 +796,7 @@
 	r.watch()
 	if r.set.ListOnRequest && r.askAt >= 0 && r.now >= r.askAt {
 		r.emit(Action{Kind: Subscribe})
-		r.askAt = -1
+		r.askAt, r.asked = -1, r.now
 	}
 }
 
@@ -899,10 +902,5 @@
 		r.rate += 3 * smooth * (float64(completed)/float64(warm)/loopPeriod.Seconds() - r.rate)
 	}
 	r.layRings()
-	for s, at := range r.sessions {
-		if r.now-at > keepWrites {
-			r.oldest = max(r.oldest, at)
-			delete(r.sessions, s)
-		}
-	}
+	r.writes.Forget(r.now - keepWrites)
 }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -289,6 +289,43 @@
 	}
 }
 
+// A session's read that comes while a write of it is out, or after the write's answer was lost, must see that write: the node may
+// have committed it, and said so. Without a word of the commit the present stands for it.
+func TestSessionReadBesideALostAnswer(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		status  Status
+		note    Evidence
+		replica bool // may answer the read
+	}{
+		{"lost", BrokenOff, Evidence{}, false},
+		{"late", TimedOut, Evidence{}, false},
+		{"spoilt", NodeError, Evidence{}, false},
+		{"without its commit", OK, Evidence{Role: Primary}, false},
+		{"whole", OK, Evidence{Role: Primary, Position: start - time.Second}, true},
+		{"it never ran", NodeFull, Evidence{}, true},
+	} {
+		s := settings()
+		s.KeepSessions = true
+		h := newHarness(t, s)
+		read := func(id RequestID) NodeID {
+			out := h.step(Event{Kind: RequestArrived, Request: id, Arrival: Arrival{Class: classSession, Session: 7, Expires: time.Second}})
+			h.want(c.name, out, Send)
+			return out[0].Node
+		}
+		h.now += 10 * ms
+		h.want("write", h.step(Event{Kind: RequestArrived, Request: 1, Arrival: Arrival{Class: classWrite, Session: 7, Expires: time.Second}}), Send)
+		h.now += 10 * ms
+		if n := read(2); n != 1 {
+			t.Errorf("%s: while the write is out, the read went to node %d", c.name, n)
+		}
+		h.step(Event{Kind: AttemptDone, Request: 1, Outcome: Outcome{Node: 1, Status: c.status, Final: true, Note: c.note}})
+		if replica := read(3) != 1; replica != c.replica {
+			t.Errorf("%s: the read went to a replica: %v", c.name, replica)
+		}
+	}
+}
+
 // Where nodes check freshness, the most advanced replica is tried before the primary.
 func TestMostAdvancedFirst(t *testing.T) {
 	s := settings()
--- a/cmd/capercove/main.go
+++ b/cmd/capercove/main.go
@@ -176,7 +176,7 @@
 	p.driver.Core, p.driver.Front, p.driver.Pool = p.core, p.front, p.pool
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	p.watch = discovery.New(ctx, cfg.Discovery, cfg.Known.Revision, l, log,
+	p.watch = discovery.New(ctx, cfg.Discovery, cfg.Known, l, log,
 		func(list discovery.List) {
 			p.driver.Do(func() { p.core.List(list.Entries(cfg.Facts.Zones), list.Complete) })
 		},
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -115,12 +115,12 @@
 	cancel   context.CancelFunc
 }
 
-// New returns a watch on a discovery service. It calls changed and failed from a goroutine of its own. From
-// revision on it knows the list already.
-func New(ctx context.Context, addr string, known uint64, l limits.Limits, log zerolog.Logger, changed func(List),
+// New returns a watch on a discovery service. It calls changed and failed from a goroutine of its own. A known list with databases
+// in it is not asked for again, whatever its revision: at a start of many that would be a second call of each.
+func New(ctx context.Context, addr string, known List, l limits.Limits, log zerolog.Logger, changed func(List),
 	failed func()) *Watch {
 	w := &Watch{addr: addr, limits: l, log: log, changed: changed, failed: failed, ctx: ctx,
-		calls: make(chan struct{}, 1), listed: known > 0, revision: known, cancel: func() {},
+		calls: make(chan struct{}, 1), listed: len(known.Members) > 0, revision: known.Revision, cancel: func() {},
 		client: &http.Client{Transport: &http.Transport{
 			DialContext:       (&net.Dialer{Timeout: l.WatchAnswer}).DialContext,
 			DisableKeepAlives: true, // Against silent retries on a stale connection: each is a call.
@@ -149,6 +149,7 @@
 }
 
 func (w *Watch) run() {
+	var logged time.Time
 	for {
 		select {
 		case <-w.ctx.Done():
@@ -162,7 +163,10 @@
 		if w.ctx.Err() != nil {
 			return
 		}
-		w.log.Warn().Err(err).Msg("discovery: watch ended")
+		if now := time.Now(); now.Sub(logged) >= w.limits.LogEvery {
+			logged = now
+			w.log.Warn().Err(err).Msg("discovery: watch ended")
+		}
 		w.failed()
 	}
 }
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -105,7 +105,16 @@
 	failed chan struct{}
 }
 
+// newWatch returns a watch that knows a list of a revision; of 0: none.
 func newWatch(t *testing.T, s *service, known uint64, l limits.Limits, log zerolog.Logger) *watch {
+	list := discovery.List{Revision: known, Complete: true}
+	if known > 0 {
+		list.Members = []discovery.Entry{{ID: "a", Addr: "127.0.0.1:5432", Phase: "SERVING"}}
+	}
+	return watchFrom(t, s, list, l, log)
+}
+
+func watchFrom(t *testing.T, s *service, known discovery.List, l limits.Limits, log zerolog.Logger) *watch {
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	w := &watch{t: t, lists: make(chan discovery.List, 16), failed: make(chan struct{}, 16)}
@@ -277,3 +286,19 @@
 	require.Equal(t, uint64(2), w.list().Revision)
 	require.Equal(t, "/catalog/members?watch=1&from=2", s.next().path)
 }
+
+// What is known at the start is not asked for again, also where it is of revision 0: the first call is a watch. With no database known
+// the whole list is asked for first, whatever its revision.
+func TestFirstCall(t *testing.T) {
+	some := []discovery.Entry{{ID: "a", Addr: "127.0.0.1:5432", Phase: "SERVING"}}
+	for path, known := range map[string]discovery.List{
+		"/catalog/members?watch=1&from=0": {Complete: true, Members: some},
+		"/catalog/members?watch=1&from=7": {Revision: 7, Complete: true, Members: some},
+		"/catalog/members":                {Revision: 7, Complete: true},
+	} {
+		s := newService(t)
+		w := watchFrom(t, s, known, wide(), zerolog.Nop())
+		w.Subscribe()
+		require.Equal(t, path, s.next().path)
+	}
+}
--- a/internal/net/crossings_test.go
+++ b/internal/net/crossings_test.go
@@ -250,3 +250,24 @@
 		require.Less(t, l.Linger, l.Stop-l.StopLeaving, longest)
 	}
 }
+
+// Where the settings say that lists are pushed, they come over a watch as well: a database that the list takes away gets nothing more.
+func TestPushedListsAreWatched(t *testing.T) {
+	b := testbed.Start(t, func(b *testbed.Bed) {
+		b.Settings = strings.Replace(b.Settings, `"membershipMode":"on_request"`, `"membershipMode":"pushed"`, 1)
+	})
+	c := b.Client()
+	b.List(b.Entry(1, "DELETED"))
+	b.Eventually(func() bool {
+		before := len(b.Databases[1].Got())
+		for range 8 {
+			c.Ask(b.Statement("report", "a", second))
+		}
+		return before > 0 && len(b.Databases[1].Got()) == before || len(b.Databases[0].Got()) > 400
+	}, "the change is heard, or the replica never asked")
+	before := len(b.Databases[1].Got())
+	for range 20 {
+		require.Equal(t, "from db-0", string(c.Ask(b.Statement("report", "b", second)).Value))
+	}
+	require.Len(t, b.Databases[1].Got(), before)
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -90,6 +90,11 @@
 	for _, l := range s.Lanes {
 		f.Classes = append(f.Classes, l.Name)
 	}
+	// On sockets a list that is pushed comes over a watch, too, from an agent beside the pooler. What that has counts as told whether
+	// it is watched or not, so that only the grace is left to open a broken watch anew.
+	if !c.ListOnRequest {
+		c.ListOnRequest, c.ListBinds = true, min(c.ListBinds, c.DrainGrace)
+	}
 	if err == nil && (f.Connect <= 0 || f.Keepalive <= 0) {
 		err = fmt.Errorf("allowed.connectTimeoutMs is %v, allowed.keepaliveMs %v", f.Connect, f.Keepalive)
 	}
