--- a/cmd/capercove/main.go
+++ b/cmd/capercove/main.go
@@ -125,7 +125,7 @@
 }
 
 func run(log zerolog.Logger) error {
-	signals := listen() // From here on: SIGHUP would end the program otherwise.
+	heard := listen() // From here on: SIGHUP would end the program otherwise.
 	cfg, err := config.Load()
 	if err != nil {
 		return err
@@ -223,7 +223,7 @@
 			return err
 		}
 	}
-	go p.follow(signals)
+	go p.follow(heard)
 	log.Info().Str("listen", cfg.Listen).Int("members", len(cfg.Known.Members)).Msg("starting")
 	start := func() {
 		if own.Statements.On() {
