Force the client that leaves during a dial on Flight SQL too

Seen: the crossing stood in docs/design/crossings.md as read only on this wire. A gate on loopback before the database's address lets the connection come up and nothing pass until the test opens it.

The program is unchanged.

--- a/internal/flight/flight_test.go
+++ b/internal/flight/flight_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
+	"net"
 	"strconv"
 	"strings"
 	"syscall"
@@ -212,3 +215,67 @@
 	require.Equal(t, codes.DeadlineExceeded, status.Code(<-done))
 	require.NoError(t, b.Wait())
 }
+
+// gate stands before a database's Flight address: connections come up and nothing passes until it is opened.
+func gate(t *testing.T, to *string) (came chan struct{}, open func()) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	real, opened := *to, make(chan struct{})
+	*to, came = l.Addr().String(), make(chan struct{}, 64)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			came <- struct{}{}
+			go func() {
+				defer c.Close()
+				select {
+				case <-opened:
+				case <-t.Context().Done():
+					return
+				}
+				d, err := net.Dial("tcp", real)
+				if err != nil {
+					return
+				}
+				defer d.Close()
+				go io.Copy(d, c)
+				io.Copy(c, d)
+			}()
+		}
+	}()
+	return came, func() { close(opened) }
+}
+
+// A client cancels while its request waits for a connection to come up: nothing is sent for it when that does, whether the site calls
+// attempts off or not.
+func TestCancelWhileADialIsUnderWay(t *testing.T) {
+	for _, cancels := range []bool{true, false} {
+		var came chan struct{}
+		var open func()
+		b := testbed.Start(t, testbed.WithFlight, func(b *testbed.Bed) {
+			came, open = gate(t, &b.Databases[0].Flight)
+			b.Settings = strings.Replace(b.Settings, `"cancel":true,"connectTimeoutMs":250`,
+				fmt.Sprintf(`"cancel":%v,"connectTimeoutMs":%d`, cancels, (10*testbed.Patience).Milliseconds()), 1)
+		})
+		c := newClient(b)
+		wait := strconv.FormatInt(testbed.Patience.Milliseconds(), 10)
+		ctx, cancel := context.WithCancel(headers("write", wait))
+		first := make(chan error, 1)
+		go func() {
+			_, err := c.ExecuteUpdate(ctx, "first")
+			first <- err
+		}()
+		<-came
+		cancel()
+		require.Equal(t, codes.Canceled, status.Code(<-first))
+		b.Counters(func(c testbed.Counters) bool { return c.Core.Fronts["flight"].Gone == 1 })
+		open()
+		_, err := c.ExecuteUpdate(headers("write", wait), "second")
+		require.NoError(t, err)
+		require.Equal(t, []string{"second"}, b.Databases[0].Got(), "cancels %v", cancels)
+	}
+}
