--- a/cmd/capercove/main.go
+++ b/cmd/capercove/main.go
@@ -125,7 +125,7 @@
 }
 
 func run(log zerolog.Logger) error {
-	heard := listen() // From here on: SIGHUP would end the program otherwise.
+	heard := notify() // From here on: SIGHUP would end the program otherwise.
 	cfg, err := config.Load()
 	if err != nil {
 		return err
@@ -438,7 +438,7 @@
 // and none takes the place of another.
 type signals struct{ end, reload, print chan os.Signal }
 
-func listen() signals {
+func notify() signals {
 	s := signals{make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan os.Signal, 1)}
 	signal.Notify(s.end, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(s.reload, syscall.SIGHUP)
@@ -524,10 +524,10 @@
 	}
 	begun, linger := p.core.Now(), p.limits.Linger
 	by := begun + p.limits.Stop
-	draining, ending, alone := false, false, false
+	draining, ending, refusing := false, false, false
 	if p.shared { // Others accept: whom this process has not taken in is theirs, at once.
 		linger = p.limits.Stop
-		p.driver.Refuse(func() { linger, alone = 0, true })
+		p.driver.Refuse(func() { linger, refusing = 0, true })
 	}
 	var check func()
 	check = func() {
@@ -539,15 +539,15 @@
 				go p.flight.Stop()
 			}
 		}
-		flown := p.flight == nil || p.flight.Stopped()
-		if !ending && (now >= by-p.limits.StopLeaving || draining && p.core.Open() == 0 && p.front.Idle() && flown) {
+		flightDone := p.flight == nil || p.flight.Stopped()
+		if !ending && (now >= by-p.limits.StopLeaving || draining && p.core.Open() == 0 && p.front.Idle() && flightDone) {
 			ending = true
 			p.front.Stop(p.core.Abandon)
 			if !p.shared {
-				p.driver.Refuse(func() { alone = true })
+				p.driver.Refuse(func() { refusing = true })
 			}
 		}
-		if now >= by || ending && alone && flown && p.front.Left() {
+		if now >= by || ending && refusing && flightDone && p.front.Left() {
 			p.driver.Stop()
 			return
 		}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -60,7 +60,7 @@
 	choice.Node
 	Name, Addr string
 	Banned     bool          // by the operators; its primary's writes go on for part of the grace
-	Off        time.Duration // when it was first told that it drains, or is gone for good; 0: it is neither
+	OutSince   time.Duration // when the list first said that it drains, or is gone for good; 0: it is neither
 }
 
 // Request is what a client asks. The front fills in the exported fields.
@@ -528,11 +528,11 @@
 		m = &Member{}
 		c.members[e.ID] = m
 	}
-	off := m.Off
+	since := m.OutSince
 	*m = e
 	_, m.Banned = c.bans[m.ID]
-	if m.Off = 0; e.State == choice.Draining || e.State == choice.Gone && (off > 0 || !c.settings.DrainOnly) {
-		m.Off = cmp.Or(off, c.clock())
+	if m.OutSince = 0; e.State == choice.Draining || e.State == choice.Gone && (since > 0 || !c.settings.DrainOnly) {
+		m.OutSince = cmp.Or(since, c.clock())
 	}
 	for _, w := range c.watchers {
 		w.Changed(m)
--- a/internal/core/off.go
+++ b/internal/core/off.go
@@ -101,7 +101,7 @@
 // it was with what is not so any more: its timers come only then. To one that drains goes what was decided on before, or what only
 // it can take, for half of the grace.
 func (c *Core) may(m *Member) bool {
-	if m.Off > 0 && c.clock()-m.Off >= c.settings.DrainGrace/2 {
+	if m.OutSince > 0 && c.clock()-m.OutSince >= c.settings.DrainGrace/2 {
 		return false
 	}
 	off := c.off.All || c.off.Now[m.ID]
