Find a pooler gone that others told of and the library never found

Cause: judge (internal/fleet/gossip/gossip.go) finds gone only whom memberlist has told of and then takes away (NotifyLeave). One known by words alone is missed by nobody, so View.Live keeps it until its facts are forgotten after 10 minutes.

Ruled out: a pooler that stays "suspected" (each member that was found was judged within seconds), digests that differ for good (they agreed but for the one name).

Change: judgeUnmet finds gone who is held live, has not been found by the library and has said nothing new for four rejoin times, twice memberlist's own exchange of members; one that lives refutes it, as any such finding.

--- a/internal/fleet/gossip/config.go
+++ b/internal/fleet/gossip/config.go
@@ -94,6 +94,7 @@
 	messageMost    = 4 << 20            // bytes of a message that are read
 	tries          = 4                  // addresses beside the seeds that are tried at once
 	verdict        = 3                  // periods in which a member's own word that it leaves may still come
+	unmetFor       = 4                  // times Rejoin, twice the library's exchange of members, that one known by word alone is waited for
 	version        = 1                  // of what is sent; one of another is not read
 	addressKept    = 7 * 24 * time.Hour // an address is remembered after its pooler was last there
 )
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -72,6 +72,7 @@
 	talk       *fleet.Talk
 	members    map[string]*peer   // that are there, this pooler left out
 	missing    map[string]*peer   // that have gone just now: whether they left is not known yet
+	unmet      map[string]unmet   // that others' words tell of and that the library has not found
 	remembered map[string]address // where those are that went without a word, and that were there before a restart
 	agreement  *agreement
 	stopping   bool
@@ -89,6 +90,12 @@
 	went  time.Duration // ... and when not any more; 0: it is there
 }
 
+// unmet is a pooler known by others' words alone.
+type unmet struct {
+	latest uint64        // sequence of its last word
+	since  time.Duration // when that came
+}
+
 // heard is what the library tells beside its members. It has a lock of its own, as the library logs while it is being called.
 type heard struct {
 	mu        sync.Mutex
@@ -119,7 +126,7 @@
 	random := rand.New(rand.NewPCG(uint64(now), 0))
 	g := &Gossip{name: name, config: c, pace: p, log: log, clock: clock, period: period, began: now, stop: make(chan struct{}),
 		talk:    fleet.NewTalk(fleet.NewView(b), fleet.NewAuthor(name, uint64(now.Milliseconds()), b), fleet.DefaultTalk(), random),
-		members: map[string]*peer{}, missing: map[string]*peer{}, remembered: map[string]address{},
+		members: map[string]*peer{}, missing: map[string]*peer{}, unmet: map[string]unmet{}, remembered: map[string]address{},
 		heard:     heard{answered: map[string]time.Duration{}, suspected: map[string]time.Duration{}},
 		agreement: newAgreement(p.Agree, now), logged: map[string]time.Duration{}, random: random}
 	if c.Dir != "" {
@@ -272,6 +279,29 @@
 		g.changed = true
 		g.log.Info().Str("pooler", name).Uint64("incarnation", incarnation).Str("why", why).Msg("fleet: is gone")
 	}
+	g.judgeUnmet(now)
+}
+
+// judgeUnmet finds those to be gone whom the library has not found by a while after their last word; mu is held. A cut or a crash
+// may come after a pooler's first words have gone round and before the library has told of it here: nothing else would then ever
+// miss it, until its words are forgotten. One that lives refutes it.
+func (g *Gossip) judgeUnmet(now time.Duration) {
+	live := g.talk.View.Live()
+	maps.DeleteFunc(g.unmet, func(name string, _ unmet) bool { _, there := slices.BinarySearch(live, name); return !there })
+	for _, name := range live {
+		if name == g.name || g.members[name] != nil || g.missing[name] != nil {
+			delete(g.unmet, name)
+			continue
+		}
+		u, known := g.unmet[name]
+		if latest := g.talk.View.Latest(name); !known || latest != u.latest {
+			g.unmet[name] = unmet{latest, now}
+		} else if now-u.since >= unmetFor*g.pace.Rejoin {
+			delete(g.unmet, name)
+			g.talk.Found(now, name)
+			g.log.Info().Str("pooler", name).Str("why", "it was never found").Msg("fleet: is gone")
+		}
+	}
 }
 
 // remember keeps an address, within the bound; mu is held.
--- a/internal/fleet/gossip/gossip_test.go
+++ b/internal/fleet/gossip/gossip_test.go
@@ -213,6 +213,27 @@
 	m.settled("n0", "n1") // the first of the name is heard, and nobody else
 }
 
+// Poolers hear of one that ends before any of them has found it: its words alone do not keep it there.
+func TestHeardOfAndNeverFound(t *testing.T) {
+	m := newMembers(t, 6, 2)
+	told := false
+	c := gossip.Config{Enabled: true, Cluster: "c", Listen: m.own["n0"], Advertise: m.public["n0"]}
+	g, err := gossip.Start("n0", c, quick, zerolog.Nop(), clock, func(now time.Duration, v *fleet.View) map[fleet.Key][]byte {
+		if !told {
+			v.Merge(now, fleet.Delta{Facts: []fleet.Fact{{Owner: "ghost", Incarnation: uint64(now.Milliseconds()), Sequence: 1, At: now}}})
+		}
+		told = true
+		return map[fleet.Key][]byte{{}: []byte("n0")}
+	})
+	require.NoError(t, err)
+	m.up["n0"] = g
+	m.start("n1", "c", "n0")
+	m.settled("n0", "n1") // n1 hears of it by n0's answers to its summaries, or by the word that it is gone
+	for _, name := range []string{"n0", "n1"} {
+		require.True(t, slices.ContainsFunc(m.up[name].State().Poolers, func(p gossip.Pooler) bool { return p.Name == "ghost" && p.State == "gone" }))
+	}
+}
+
 func TestCheck(t *testing.T) {
 	good := gossip.Config{Enabled: true, Cluster: "c", Listen: "127.0.0.1:7946", Seeds: []string{"db.example:1"}}
 	require.NoError(t, good.Check())
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -294,6 +294,16 @@
 	return 0, false
 }
 
+// Latest is the sequence of a pooler's last word that is held; 0 where there is none.
+func (v *View) Latest(name string) (sequence uint64) {
+	if o := v.owners[name]; o != nil {
+		for _, f := range o.facts {
+			sequence = max(sequence, f.Sequence)
+		}
+	}
+	return sequence
+}
+
 // Of returns what live poolers say under a key, by their names in order.
 func (v *View) Of(key Key) []Fact {
 	var facts []Fact
