Refuse what comes after the end, drop early answers, keep Flight off banned databases

Found by reading shutdown, waits for a connection and hand-overs; each with a test that failed without its mend.

- A Flight call that had been let in and reached the core only after Abandon was taken, sent on and lost with the program: only the PostgreSQL front looked whether it stops (net/front.go, command).
Submit refuses from Abandon on, for every front; the front's own look is gone. core.TestAbandoned (without: no answer).
- A refusal that comes inside Submit made read call itself, a level for each command of a pipeline that waits (net/front.go, set and read; with too many requests open, a client's 2 MB of commands). read does not begin inside itself now.
No test: nothing but the depth changes.
- On Flight, a database that was banned, gone or elsewhere while a request waited for a connection to it, or between its ticket and its fetch, got the request all the same if the connection came up (flight/backend.go: Changed dropped the connection for later requests only, and MaySend does not know of bans; the PostgreSQL pool drops such jobs).
A connection carries now whether its database is still there; what waits is handed back at once.
TestDatabaseOutWhileADialIsUnderWay (without: waited for the dial's time-out), TestBetweenTicketAndFetch (without: fetched after a ban; with the second look taken out: after a cancel).
- A database that answers before the statement is written answers something else; its value was given to the client (net/pool.go, traffic).
It counts as a spoilt answer, after which the rest may still go out, so a write may have run.
TestAnswerBeforeTheStatementIsWritten, with a variant whose sockets hold 4 KiB (without: "of another" was served).
- An attempt stopped as the last thing before it goes out took another one out of the count that statements' costs are learned with (core.go, send before teach).
TestAttemptsOutAtADatabase (without: 0 others where 1 was out).

Ruled out: the same on the PostgreSQL pool, which drops jobs and dials of databases that are gone, banned or moved; connections to databases have the system's own buffers, since gnet sets SocketBytes on clients' alone, so that a statement is seldom in two parts on loopback.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -175,6 +175,7 @@
 	out      map[choice.NodeID]int // attempts that are out, of requests that teach
 	listed   bool                  // the list has come
 	stopping bool
+	ended    bool                   // nothing is taken any more
 	observed bool                   // the figures tell what the router sees
 	routers  int                    // that share the databases, as is known of the fleet; 0: as in the settings
 	asking   map[choice.NodeID]bool // probes that are out on other poolers' word
@@ -271,14 +272,14 @@
 
 // ---- From the fronts
 
-// Submit takes a request. The answer may come before Submit returns only if there are too many open.
+// Submit takes a request. The answer may come before Submit returns only if there are too many open, or after Abandon.
 func (c *Core) Submit(q *Request) {
 	q.count = c.answers(q.Front, c.settings.Names[q.Class])
 	q.count.Taken++
 	if c.observed {
 		c.asks[q.Group]++
 	}
-	if len(c.requests) >= c.limits.Requests { // Against tables without bound.
+	if c.ended || len(c.requests) >= c.limits.Requests { // Against tables without bound, and requests that are lost with the program.
 		q.done = true
 		q.count.Refused++
 		q.Client.Refused(0)
@@ -327,8 +328,10 @@
 	c.push(choice.Event{Kind: choice.ClientGone, Request: q.id})
 }
 
-// Abandon fails all that is open, as the program is about to end. Against requests that are lost with it.
+// Abandon gives all that is open its answer, as the program is about to end, and refuses what is submitted from then on. Against
+// requests that are lost with it.
 func (c *Core) Abandon() {
+	c.ended = true
 	for _, q := range c.requests {
 		if !q.done {
 			routed := q.door != doorQueued
@@ -641,6 +644,10 @@
 	q.attempts = append(q.attempts, try)
 	q.out++
 	c.held.Leave(q.id)
+	if q.Learner != nil {
+		try.others = c.out[a.Node]
+		c.out[a.Node]++
+	}
 	if q.done || q.began != nil || !c.may(try.Member) {
 		c.Done(try, choice.NotSent, choice.Evidence{}, nil)
 		return
@@ -651,10 +658,6 @@
 	}
 	// Against peers that are cut off and never close.
 	try.timer = c.Wheel.At(try.Until, func() { c.cancel(try, choice.TimedOut) })
-	if q.Learner != nil {
-		try.others = c.out[a.Node]
-		c.out[a.Node]++
-	}
 	q.Backend.Send(try)
 }
 
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -194,6 +194,38 @@
 	w.core.Flush()
 	require.Equal(t, []string{"failed"}, sent.answers)
 	require.Equal(t, []string{"refused"}, waits.answers)
+	late := &client{} // such as a call that had been let in and comes to the core only now
+	w.core.Submit(&core.Request{Front: "test", Name: "c", Group: 1, Expires: 5 * time.Second, Backend: w, Client: late})
+	require.Equal(t, []string{"refused"}, late.answers)
+	w.core.Flush()
 	require.Len(t, w.out, 1, "nothing is sent any more")
 	require.Zero(t, w.core.Open())
 }
+
+// learner keeps how many others each attempt was told of.
+type learner struct{ others []int }
+
+func (l *learner) Learned(_ time.Duration, others int) { l.others = append(l.others, others) }
+
+// An attempt that is stopped at the last moment takes none of those that are out at its database out of the count.
+func TestAttemptsOutAtADatabase(t *testing.T) {
+	w, l := newWorld(t), &learner{}
+	w.core.List([]core.Member{{Node: choice.Node{ID: 1, State: choice.Ready, Group: 1}}}, true)
+	ask := func(name string) *core.Request {
+		q := &core.Request{Front: "test", Name: name, Group: 1, Expires: 5 * time.Second, Backend: w, Client: &client{}, Learner: l}
+		w.core.Submit(q)
+		w.core.Flush()
+		return q
+	}
+	ask("stays out")
+	require.Len(t, w.out, 1)
+	w.core.KeepOff(core.Off{Until: w.now + time.Millisecond, Then: map[choice.NodeID]bool{1: true}})
+	w.now += 2 * time.Millisecond // what is known has run out, and no timer has come yet
+	w.core.Leave(ask("is stopped"))
+	require.Len(t, w.out, 1)
+	w.core.KeepOff(core.Off{})
+	ask("is taught")
+	require.Len(t, w.out, 2)
+	w.core.Done(w.out[1], choice.OK, choice.Evidence{}, "")
+	require.Equal(t, []int{1}, l.others)
+}
--- a/internal/flight/backend.go
+++ b/internal/flight/backend.go
@@ -37,16 +37,21 @@
 	grpc    *grpc.ClientConn
 	uses    int
 	retired bool
+	here    context.Context // over once the database is gone, banned or elsewhere: nothing is begun on it from then on
+	leave   context.CancelFunc
 }
 
 func NewBackend(cfg Config, l limits.Limits, log zerolog.Logger, c *core.Core, do func(func())) *Backend {
 	return &Backend{config: cfg, limits: l, log: log, core: c, do: do, conns: map[choice.NodeID]*conn{}}
 }
 
-// Changed drops the connection to a database that is gone or elsewhere.
+// Changed drops the connection to a database that is gone, banned or elsewhere. What has been sent on it goes on. What still waits for it
+// is handed back to the router: against a wait for nothing, work that reaches a database after the operators' yes, and a statement
+// that reaches whoever has its address now.
 func (b *Backend) Changed(m *core.Member) {
 	c := b.conns[m.ID]
-	if c != nil && (m.State == choice.Gone || c.addr != b.config.addr(m.Name, m.Addr)) {
+	if c != nil && (m.State == choice.Gone || m.Banned || c.addr != b.config.addr(m.Name, m.Addr)) {
+		c.leave()
 		b.retire(m.ID, c)
 	}
 }
@@ -75,6 +80,7 @@
 		return nil, err
 	}
 	c := &conn{addr: addr, grpc: cc}
+	c.here, c.leave = context.WithCancel(context.Background())
 	b.conns[m.ID] = c
 	return c, nil
 }
@@ -90,8 +96,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), a.Until-b.core.Now())
 	a.Handle = cancel
 	go func() {
-		t := &try{b: b, ctx: ctx, a: a, s: a.Request.Payload.(*statement), cancel: cancel}
-		result, answer := t.carry(c.grpc)
+		t := &try{b: b, conn: c, ctx: ctx, a: a, s: a.Request.Payload.(*statement), cancel: cancel}
+		result, answer := t.carry()
 		cancel()
 		b.do(func() {
 			// Against a database that was cut off: its connection stays open and silent for ever.
@@ -143,6 +149,7 @@
 // try is one attempt, on its goroutine.
 type try struct {
 	b      *Backend
+	conn   *conn
 	ctx    context.Context
 	cancel context.CancelFunc
 	a      *core.Attempt
@@ -153,11 +160,12 @@
 	unusable bool // it cannot use the statement
 }
 
-func (t *try) carry(cc *grpc.ClientConn) (choice.Status, any) {
-	if !t.connect(cc) {
+func (t *try) carry() (choice.Status, any) {
+	up := t.connect()
+	if !up && t.conn.here.Err() == nil {
 		return choice.NoConnect, nil
 	}
-	if !t.ask(t.b.core.MaySend) {
+	if !up || !t.ask(t.maySend) {
 		return choice.NotSent, nil
 	}
 	now := t.b.core.Now()
@@ -167,7 +175,7 @@
 	}
 	ctx := metadata.NewOutgoingContext(t.ctx, t.s.headers(t.a.Until-now))
 	ctx = context.WithValue(ctx, tryKey{}, t)
-	client := flight.NewFlightServiceClient(cc)
+	client := flight.NewFlightServiceClient(t.conn.grpc)
 	var answer any
 	if t.s.update {
 		answer, err = t.put(ctx, client, d)
@@ -179,9 +187,11 @@
 }
 
 // connect brings the connection up. What fails here has never run.
-func (t *try) connect(cc *grpc.ClientConn) bool {
+func (t *try) connect() bool {
+	cc := t.conn.grpc
 	ctx, cancel := context.WithTimeout(t.ctx, t.b.limits.ConnectTimeout)
 	defer cancel()
+	defer context.AfterFunc(t.conn.here, cancel)()
 	for {
 		switch state := cc.GetState(); state {
 		case connectivity.Ready:
@@ -217,7 +227,7 @@
 	if len(info.GetEndpoint()) != 1 || len(info.Endpoint[0].GetLocation()) > 0 {
 		return errEndpoints
 	}
-	if !t.ask(t.b.core.MaySend) { // what allowed it has run out since; nothing is sent twice for a read
+	if !t.ask(t.maySend) { // what allowed it has run out since; nothing is sent twice for a read
 		return errMoot
 	}
 	stream, err := client.DoGet(ctx, info.Endpoint[0].Ticket)
@@ -270,6 +280,9 @@
 	}
 }
 
+// maySend is asked on the core's goroutine.
+func (t *try) maySend(a *core.Attempt) bool { return t.conn.here.Err() == nil && t.b.core.MaySend(a) }
+
 // over tells why nothing more is passed on.
 func (t *try) over() error {
 	if err := t.ctx.Err(); err != nil {
--- a/internal/flight/flight_test.go
+++ b/internal/flight/flight_test.go
@@ -258,8 +258,7 @@
 		var open func()
 		b := testbed.Start(t, testbed.WithFlight, func(b *testbed.Bed) {
 			came, open = gate(t, &b.Databases[0].Flight)
-			b.Settings = strings.Replace(b.Settings, `"cancel":true,"connectTimeoutMs":250`,
-				fmt.Sprintf(`"cancel":%v,"connectTimeoutMs":%d`, cancels, (10*testbed.Patience).Milliseconds()), 1)
+			patient(b, cancels)
 		})
 		c := newClient(b)
 		wait := strconv.FormatInt(testbed.Patience.Milliseconds(), 10)
@@ -279,3 +278,86 @@
 		require.Equal(t, []string{"second"}, b.Databases[0].Got(), "cancels %v", cancels)
 	}
 }
+
+// patient lets a connection take as long as it likes to come up, with attempts that are called off or not.
+func patient(b *testbed.Bed, cancels bool) {
+	b.Settings = strings.Replace(b.Settings, `"cancel":true,"connectTimeoutMs":250`,
+		fmt.Sprintf(`"cancel":%v,"connectTimeoutMs":%d`, cancels, (10*testbed.Patience).Milliseconds()), 1)
+}
+
+// A replica is banned, or gone, while a report waits for a connection to it: the report goes to the primary at once, and the replica gets
+// nothing when the connection comes up.
+func TestDatabaseOutWhileADialIsUnderWay(t *testing.T) {
+	for how, out := range map[string]func(b *testbed.Bed){
+		"banned": func(b *testbed.Bed) {
+			code, _ := b.Call("PUT", "/api/exclude/db-1")
+			require.Equal(t, 200, code)
+		},
+		"gone": func(b *testbed.Bed) { b.List(b.Entry(1, "DELETED")) },
+	} {
+		var came chan struct{}
+		var open func()
+		b := testbed.Start(t, testbed.WithFlight, func(b *testbed.Bed) {
+			came, open = gate(t, &b.Databases[1].Flight)
+			patient(b, true)
+		})
+		c := newClient(b)
+		wait := strconv.FormatInt((4 * testbed.Patience).Milliseconds(), 10)
+		first := make(chan error, 1)
+		go func() {
+			_, err := c.query(headers("report", wait), "first")
+			first <- err
+		}()
+		<-came
+		out(b)
+		select {
+		case err := <-first:
+			require.NoError(t, err, how)
+		case <-time.After(testbed.Patience):
+			require.Fail(t, "it waits on", how)
+		}
+		open()
+		_, err := c.query(headers("report", wait), "second")
+		require.NoError(t, err, how)
+		require.Len(t, b.Databases[0].Got(), 2, how)
+		require.Empty(t, b.Databases[1].Got(), how)
+	}
+}
+
+// Between asking a database for a ticket and fetching it the client cancels, whether the site calls attempts off or not, or the database is
+// banned: it is not fetched.
+func TestBetweenTicketAndFetch(t *testing.T) {
+	for _, what := range []string{"cancel", "cancel without calling off", "ban"} {
+		b := testbed.Start(t, testbed.WithFlight, func(b *testbed.Bed) { patient(b, what == "cancel") })
+		c := newClient(b)
+		wait := strconv.FormatInt((4 * testbed.Patience).Milliseconds(), 10)
+		ctx, cancel := context.WithCancel(headers("report", wait))
+		defer cancel()
+		first := make(chan error, 1)
+		go func() {
+			_, err := c.query(ctx, "ticket")
+			first <- err
+		}()
+		b.Eventually(func() bool { return b.Databases[1].Tickets() == 1 }, "the replica is asked for a ticket")
+		if what == "ban" {
+			code, _ := b.Call("PUT", "/api/exclude/db-1")
+			require.Equal(t, 200, code)
+			b.Databases[0].Release() // where it goes next
+			b.Databases[1].Release()
+			require.NoError(t, <-first)
+			require.Len(t, b.Databases[0].Got(), 1)
+		} else {
+			cancel()
+			require.Equal(t, codes.Canceled, status.Code(<-first))
+			b.Counters(func(c testbed.Counters) bool { return c.Core.Fronts["flight"].Gone == 1 })
+			b.Databases[1].Release()
+			_, err := c.query(headers("report", wait), "second")
+			require.NoError(t, err)
+		}
+		for _, d := range b.Databases {
+			for _, sql := range d.Got() {
+				require.False(t, d == b.Databases[1] && sql == "ticket", what)
+			}
+		}
+	}
+}
--- a/internal/net/crossings_test.go
+++ b/internal/net/crossings_test.go
@@ -271,3 +271,62 @@
 	}
 	require.Len(t, b.Databases[1].Got(), before)
 }
+
+// A database that answers before it has the whole of a statement answers something else: its client is not given that. The write may
+// have run, as its rest may still go out, and is sent to nobody else.
+func TestAnswerBeforeTheStatementIsWritten(t *testing.T) {
+	dial := `c, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)`
+	program := testbed.Variant(t, testbed.Edit{File: "internal/net/pool.go", // so that the rest of a statement has to wait
+		Old: dial, New: dial + "; if err == nil { c.(*net.TCPConn).SetWriteBuffer(4 << 10) }"})
+	small := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
+	}}
+	l, err := small.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	db := &peer{t: t, addr: l.Addr().String()}
+	var mu sync.Mutex
+	begun := 0 // long statements
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				session, buf := pg.NewSession(1<<20), make([]byte, 1<<10)
+				for {
+					n, err := c.Read(buf)
+					if err != nil {
+						return
+					}
+					session.Feed(buf[:n])
+					for command, ok := session.Next(); ok; command, ok = session.Next() {
+						reply := command.Reply
+						if command.Query != "" {
+							reply = pg.AppendValue(pg.AppendParameter(nil, "mode", "read-write"), fmt.Sprintf("x0=%d,x1=1", time.Now().Unix()))
+						}
+						c.Write(reply)
+					}
+					if session.Held() > 512 { // the beginning of the long one
+						mu.Lock()
+						begun++
+						mu.Unlock()
+						c.Write(pg.AppendValue(pg.AppendParameter(nil, "mode", "read-write"), "of another"))
+						<-t.Context().Done()
+						return
+					}
+				}
+			}()
+		}
+	}()
+	b := testbed.Start(t, testbed.WithProgram(program), db.in(0), patient(true))
+	c := b.Client()
+	r := c.Ask(b.Statement("write", strings.Repeat("ab", 60<<10), testbed.Patience))
+	require.Equal(t, pg.CodeSystemError, r.Code, "%q", r.Value)
+	require.NotEmpty(t, b.Client().Ask(b.Statement("write", "short", testbed.Patience)).Value, "the database is not taken out")
+	mu.Lock()
+	defer mu.Unlock()
+	require.Equal(t, 1, begun)
+}
--- a/internal/net/front.go
+++ b/internal/net/front.go
@@ -31,7 +31,7 @@
 	mute     int // of them that have yet to start
 	leaving  int // beyond them: their end has gone out, and the client's is waited for
 	draining bool
-	stopping bool                     // nothing that is read is sent on any more
+	stopping bool                     // no connection is taken in any more
 	held     int                      // bytes that the connections hold
 	logged   map[string]time.Duration // when each kind of bad input was last logged
 }
@@ -111,6 +111,7 @@
 	moved   time.Duration // when that was last another number
 	held    int
 	ending  bool // nothing more is read
+	reading bool // read is under way
 	used    bool // it has had an answer, or was there before the front drained
 	gone    bool
 }
@@ -241,6 +242,11 @@
 // read takes in the commands that there is room for. Each answer that goes out makes room for what has waited unread behind a
 // full pipeline: nothing else may come to wake it.
 func (k *client) read() {
+	if k.reading { // Against going down a level for each command that is answered in the moment in which it is taken.
+		return
+	}
+	k.reading = true
+	defer func() { k.reading = false }()
 	// Against a client that asks on and on and does not read: its next commands wait.
 	if !k.gone && k.conn.OutboundBuffered() > k.front.limits.OutputBytes/4 {
 		k.check()
@@ -293,9 +299,6 @@
 	f := k.front
 	f.Count.Commands++
 	k.used = k.used || c.Query != ""
-	if f.stopping && c.Query != "" { // it has been read, and is owed an answer; none can come from a database any more
-		c = pg.Command{Reply: pg.AppendRefusal(nil, 0)}
-	}
 	s := &slot{client: k, answer: c.Reply, ready: true, last: c.Close}
 	k.slots = append(k.slots, s)
 	k.ending = k.ending || c.Close
--- a/internal/net/pool.go
+++ b/internal/net/pool.go
@@ -461,11 +461,19 @@
 		l.close()
 		return
 	}
-	if l.job != nil && l.job.attempt != nil { // it could answer only what has reached it
-		l.pool.core.Written(l.job.attempt)
-	}
 	reply, done, err := l.pg.Feed(data)
-	if piece := l.pg.Piece(); err == nil && piece != nil && !l.passOn(piece) {
+	piece := l.pg.Piece()
+	if l.job != nil && l.held == nil {
+		switch {
+		case l.conn.OutboundBuffered() == 0:
+			if l.job.attempt != nil {
+				l.pool.core.Written(l.job.attempt)
+			}
+		case err == nil && (done || piece != nil): // The rest may still go out as the connection ends: it may run.
+			err = errEarly
+		}
+	}
+	if err == nil && piece != nil && !l.passOn(piece) {
 		return
 	}
 	switch {
@@ -478,7 +486,9 @@
 	}
 }
 
-// spoilt ends a connection whose answer cannot be read. The request may have run. The database is up and answers:
+var errEarly = errors.New("an answer to a statement of which the database does not have all")
+
+// spoilt ends a connection whose answer cannot be read, or cannot be its request's. The request may have run. The database is up and answers:
 // this is an error of its, not a break.
 func (l *link) spoilt(err error) {
 	p := l.pool
--- a/internal/testbed/database.go
+++ b/internal/testbed/database.go
@@ -33,7 +33,7 @@
 
 // Database is a stand-in for one database on both wires. What it does with a statement is told by the first of
 // these words in it: full (turned away), fail (an error), miss (not the primary), cut (the connection breaks),
-// hold (served once Release is called), half (a Flight stream stops after a batch), hang (no answer), endless (a Flight stream without end), one of
+// hold (served once Release is called), ticket (on Flight, its ticket is given out only then), half (a Flight stream stops after a batch), hang (no answer), endless (a Flight stream without end), one of
 // spoilt (see there), unusable (as that of a bad client), long (the value Long), torn (the same, but the connection
 // breaks halfway). All other statements are served.
 type Database struct {
@@ -49,6 +49,7 @@
 	ran     map[string]int // executed statements that call a writing function, by their id
 	strayed int            // ... that came while this was no primary, and were turned away
 	probes  int
+	tickets int // that were asked for and held back
 	ended   int // hangs and endless streams that the pooler ended
 	frozen  bool
 	release chan struct{} // closed by Release
@@ -134,6 +135,13 @@
 	return d.ended
 }
 
+// Tickets is how many tickets were asked for and held back.
+func (d *Database) Tickets() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.tickets
+}
+
 // Connections is how many connections have been started.
 func (d *Database) Connections() int {
 	d.mu.Lock()
@@ -380,6 +388,12 @@
 
 func (s *flightServer) GetFlightInfoStatement(_ context.Context, q flightsql.StatementQuery,
 	d *flight.FlightDescriptor) (*flight.FlightInfo, error) {
+	if strings.Contains(q.GetQuery(), "ticket") {
+		s.d.mu.Lock()
+		s.d.tickets++
+		s.d.mu.Unlock()
+		<-s.d.release
+	}
 	ticket, err := flightsql.CreateStatementQueryTicket([]byte(q.GetQuery()))
 	return &flight.FlightInfo{FlightDescriptor: d,
 		Endpoint: []*flight.FlightEndpoint{{Ticket: &flight.Ticket{Ticket: ticket}}}}, err
