Count a request's time from its last byte also where it waits unread in a pipeline

Ruled out: reads that are not gone on with (it was read in the same millisecond in which room was made), a lost or misplaced answer (its slot was there, in order), databases (its attempts were refused in between).

Change: arrivals tells when the bytes came that wait unread; what a request waited there is taken off its time.

TestTimeThatIsSpentUnread failed without it (the database was told 199994 ms of 199700 at the most).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -69,7 +69,7 @@
 	Name         string // the client's name for it; only one of a name may be open
 	Class, Group int
 	Session      uint64
-	Expires      time.Duration // from now until the client quits
+	Expires      time.Duration // from now until the client quits; under 0: it has quit waiting
 	LastWrite    time.Duration // clock time of the session's last commit; 0: none
 	Payload      any           // for the backend
 	Backend      Backend
--- a/internal/net/crossings_test.go
+++ b/internal/net/crossings_test.go
@@ -330,3 +330,30 @@
 	defer mu.Unlock()
 	require.Equal(t, 1, begun)
 }
+
+// A command that waits unread behind a full pipeline has the less of its client's time left: the database is told so.
+func TestTimeThatIsSpentUnread(t *testing.T) {
+	const limit, spent, wait = 8, 300 * time.Millisecond, 10 * testbed.Patience
+	b := testbed.Start(t)
+	c := b.Client()
+	out := pg.AppendQuery(nil, b.Statement("write", "hold", wait))
+	for range limit - 1 {
+		out = pg.AppendQuery(out, b.Statement("report", "a", wait))
+	}
+	c.Send(pg.AppendQuery(out, b.Statement("write", "unread", wait))) // all in one write, so that the last has come with the first
+	b.Counters(func(c testbed.Counters) bool { return c.Core.Fronts["postgres"].Taken == limit })
+	for begun := time.Now(); time.Since(begun) < spent; {
+		time.Sleep(time.Millisecond)
+	}
+	b.Databases[0].Release()
+	for range limit + 1 {
+		require.NotEmpty(t, c.Next().Value)
+	}
+	got := b.Databases[0].Got()
+	var told int64
+	_, rest, _ := strings.Cut(got[len(got)-1], ",d=")
+	_, err := fmt.Sscan(strings.Split(rest, ",")[0], &told)
+	require.NoError(t, err)
+	require.Contains(t, got[len(got)-1], "unread")
+	require.LessOrEqual(t, told, (wait - spent).Milliseconds())
+}
--- a/internal/net/front.go
+++ b/internal/net/front.go
@@ -97,6 +97,7 @@
 	number  uint64
 	conn    gnet.Conn
 	session *pg.Session
+	came    arrivals
 	mute    bool // it has yet to start
 	bad     bool // it has sent bad input
 	partial bool // its last message is incomplete
@@ -236,6 +237,7 @@
 		k.front.tap.Bytes(k.number, data)
 	}
 	k.session.Feed(data)
+	k.came.came(len(data), k.front.core.Now(), 2*k.front.limits.Tick)
 	k.read()
 }
 
@@ -275,6 +277,7 @@
 
 // wait notes that the next message is incomplete, or yet to come. Against connections held by half a message.
 func (k *client) wait() {
+	k.came.none()
 	begun := k.session.Held() > 0
 	if !k.mute && begun {
 		now := k.front.core.Now()
@@ -320,6 +323,7 @@
 		f.bad(why)
 		return
 	}
+	q.Expires -= k.came.waited(k.session.Held(), f.core.Now())
 	s.ready, s.request, q.Client = false, q, s
 	f.core.Submit(q)
 }
