Forget databases that are gone, and take no more of them than are held

Seen by reading: nothing takes a database out of choice's nodes, the core's members or the pool's servers once a list has named it (no delete in any of them). Machines that replace each other have ever new ids, so a pooler that runs for months keeps and walks through all that ever were, every 10 ms in watch; and a discovery that names ever new ones has no bound (4,096 holds for one list only).

Change: the router forgets a node that has been gone, and said nothing, for ten minutes, with no request or probe out (choice.go, list); the core forgets what the router has, behind the step that took the list in, and tells the watchers. Entries beyond 4,096 known databases are left out, counted (Unlisted) and logged.

Ruled out: forgetting at once (what a database said of its position, its role and its start would be lost with each restart that a list shows as gone), and by the core alone (the router would send to whom it does not know).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -54,6 +54,7 @@
 	neverShed     = 1.5              // times the cap in flight: no shedding below, the prediction is coarse
 	writeRoom     = 3.0              // writes are held beyond this multiple of the cap
 	keepWrites    = 60 * time.Second // a session's last write is remembered this long
+	keepGone      = 10 * time.Minute // and so is a node that is gone and says nothing
 )
 
 // node is what this router knows of one data node.
@@ -246,6 +247,13 @@
 	for _, e := range entries {
 		r.entry(e)
 	}
+	r.nodes = slices.DeleteFunc(r.nodes, func(n *node) bool { // Against ever more of them as machines are replaced.
+		past := n.State == Gone && n.inFlight == 0 && !n.probing && r.now-max(n.toldOff, n.heard) > keepGone
+		if past {
+			delete(r.byID, n.ID)
+		}
+		return past
+	})
 	r.rebuild()
 }
 
@@ -828,12 +836,9 @@
 
 // sweep places held requests again, and gives the final answer at the deadline even if an attempt is out.
 func (r *Router) sweep() {
-	keep := r.open[:0]
-	for _, q := range r.open {
-		if q.done || q.begun {
-			continue
-		}
+	r.open = slices.DeleteFunc(r.open, func(q *request) bool {
 		switch {
+		case q.done || q.begun:
 		case q.out == 0:
 			r.place(q)
 		case r.now >= q.deadline:
@@ -841,12 +846,8 @@
 		default:
 			r.overdue(q)
 		}
-		if !q.done {
-			keep = append(keep, q)
-		}
-	}
-	clear(r.open[len(keep):])
-	r.open = keep
+		return q.done || q.begun
+	})
 }
 
 func (r *Router) overdue(q *request) {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -743,3 +743,38 @@
 		}
 	}
 }
+
+// A node that is gone is remembered for a while, for what it says of itself if it comes back, and then no more: machines that replace
+// each other have ever new names. One that still answers, or has a request out, stays.
+func TestGoneNodesAreForgotten(t *testing.T) {
+	h := newHarness(t, settings())
+	h.want("a read", h.arrive(1, classAny), Send)
+	busy := h.r.requests[1].tries[0].n.ID
+	next := NodeID(10)
+	for range 1000 {
+		h.now += time.Minute
+		h.step(Event{Kind: ListChange, Nodes: []Node{{ID: next, State: Gone}, {ID: next + 1, State: Ready}}})
+		if !h.r.Knows(next) || !h.r.Knows(next+1) {
+			t.Fatal("one that has just gone, or come, is known")
+		}
+		next++
+	}
+	if n := len(h.r.nodes); n > 3+1+11 || len(h.r.byID) != n {
+		t.Fatalf("%d nodes are remembered, %d by ID", n, len(h.r.byID))
+	}
+	h.list(Node{ID: next, State: Ready}) // the first three are gone, one of them with a read out
+	h.now += time.Hour
+	h.list(Node{ID: next, State: Ready})
+	if !h.r.Knows(busy) || len(h.r.nodes) != 2 {
+		t.Fatalf("%d nodes are remembered, the busy one: %v", len(h.r.nodes), h.r.Knows(busy))
+	}
+	h.done(1, 0, busy, TimedOut, Evidence{})
+	h.list(Node{ID: next, State: Ready})
+	if h.r.Knows(busy) {
+		t.Fatal("the busy one is remembered for ever")
+	}
+	h.list(Node{ID: next, State: Ready}, Node{ID: busy, State: Ready, Started: h.now})
+	if n := h.r.byID[busy]; n == nil || n.role != RoleUnknown || n.position != 0 || h.r.warmth(n) == 1 {
+		t.Fatal("one that comes back is as a new one, and cold as it is listed")
+	}
+}
--- a/choice/seen.go
+++ b/choice/seen.go
@@ -23,6 +23,9 @@
 	NoListener // out: no process is there
 )
 
+// Knows tells whether the router still remembers a node.
+func (r *Router) Knows(id NodeID) bool { return r.byID[id] != nil }
+
 // Seen appends what the router holds of each node that is not gone, by ID.
 func (r *Router) Seen(out []Seen) []Seen {
 	for _, n := range r.nodes {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -52,8 +52,12 @@
 // Lister keeps the member list coming: each call ends with Core.List or Core.ListFailed.
 type Lister interface{ Subscribe() }
 
-// Watcher is told of every change of a member before anything is sent under it.
-type Watcher interface{ Changed(*Member) }
+// Watcher is told of every change of a member before anything is sent under it, and once it is forgotten: if it comes back, it is
+// another Member.
+type Watcher interface {
+	Changed(*Member)
+	Forgotten(*Member)
+}
 
 // Member is a database of the list.
 type Member struct {
@@ -136,6 +140,7 @@
 	Blind                               int64 // ... sent all the same, as nothing else of the group is left
 	Routers                             int   // that this one reckons with, itself among them
 	Lists, ListsFailed, Batches, Events int64
+	Unlisted                            int64   // entries that were left out, as more are not remembered
 	Size                                float64 // of the databases, as the router takes them; 1 where none tells
 }
 
@@ -174,6 +179,8 @@
 	routes   bool                  // the router knows each class as a write and as a read too
 	out      map[choice.NodeID]int // attempts that are out, of requests that teach
 	listed   bool                  // the list has come
+	relisted bool                  // ... since members were last forgotten
+	crowded  time.Duration         // when entries that were left out were last logged
 	stopping bool
 	ended    bool                   // nothing is taken any more
 	observed bool                   // the figures tell what the router sees
@@ -497,11 +504,15 @@
 
 // List takes in the whole list, or the entries that changed.
 func (c *Core) List(entries []Member, full bool) {
-	c.listed = true
+	c.listed, c.relisted = true, true
 	c.Count.Lists++
 	nodes := make([]choice.Node, 0, len(entries))
 	listed := map[choice.NodeID]bool{}
 	for _, e := range entries {
+		if c.members[e.ID] == nil && len(c.members) >= c.limits.Members { // Against lists that name ever new ones.
+			c.leaveOut(e)
+			continue
+		}
 		listed[e.ID] = true
 		nodes = append(nodes, e.Node)
 		c.change(e)
@@ -525,6 +536,28 @@
 	}
 }
 
+// leaveOut counts an entry that is not taken in, and logs one in a while.
+func (c *Core) leaveOut(e Member) {
+	c.Count.Unlisted++
+	if now := c.clock(); c.crowded == 0 || now-c.crowded >= c.limits.LogEvery {
+		c.crowded = now
+		c.log.Error().Str("database", e.Name).Int("known", len(c.members)).Int64("so_far", c.Count.Unlisted).Msg("the list names too many databases")
+	}
+}
+
+// forgetGone drops the members that the router has forgotten, which it was told of in this step at the latest.
+func (c *Core) forgetGone() {
+	c.relisted = false
+	for id, m := range c.members {
+		if m.State == choice.Gone && !c.router.Knows(id) {
+			delete(c.members, id)
+			for _, w := range c.watchers {
+				w.Forgotten(m)
+			}
+		}
+	}
+}
+
 func (c *Core) change(e Member) {
 	m := c.members[e.ID]
 	if m == nil {
@@ -578,6 +611,9 @@
 	for _, a := range c.actions {
 		c.act(a)
 	}
+	if c.relisted {
+		c.forgetGone()
+	}
 	c.relieve()
 }
 
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -19,12 +19,17 @@
 	core *core.Core
 	out  []*core.Attempt // sent, in order
 	off  []*core.Attempt // called off
+
+	forgotten []*core.Member
 }
 
 func (w *world) Send(a *core.Attempt)   { w.out = append(w.out, a) }
 func (w *world) Cancel(a *core.Attempt) { w.off = append(w.off, a) }
 func (w *world) Subscribe()             {}
 
+func (w *world) Changed(*core.Member)     {}
+func (w *world) Forgotten(m *core.Member) { w.forgotten = append(w.forgotten, m) }
+
 // Probe is answered at once: all keep up.
 func (w *world) Probe(m *core.Member) {
 	role := choice.Replica
@@ -44,7 +49,7 @@
 	l := limits.For(limits.Machine{MemoryMB: 64, Sockets: 256}, 250*time.Millisecond, 15*time.Second, 5*time.Second)
 	w.core = core.New(core.Settings{Settings: s, Names: []string{"read"}}, 1, l, zerolog.Nop(),
 		func() time.Duration { return w.now }, func() {}, ready)
-	w.core.Attach(w, w)
+	w.core.Attach(w, w, w)
 	w.core.Start()
 	var list []core.Member
 	for id := choice.NodeID(1); id <= 3; id++ {
@@ -229,3 +234,44 @@
 	w.core.Done(w.out[1], choice.OK, choice.Evidence{}, "")
 	require.Equal(t, []int{1}, l.others)
 }
+
+// Databases that are gone for long are forgotten, by those who were told of them too; one that comes back is served by anew. And a list
+// names no more of them than are held.
+func TestDatabasesAreForgotten(t *testing.T) {
+	w := newWorld(t)
+	known := func() (n int) {
+		for id := choice.NodeID(1); id < 20000; id++ {
+			if w.core.Has(id) {
+				n++
+			}
+		}
+		return n
+	}
+	one := func(id choice.NodeID, state choice.NodeState) core.Member {
+		return core.Member{Node: choice.Node{ID: id, State: state, Group: 1}}
+	}
+	for id := choice.NodeID(10); id < 200; id++ {
+		w.now += time.Minute
+		w.core.List([]core.Member{one(id, choice.Gone), one(id+1, choice.Ready)}, false)
+		w.core.Flush()
+	}
+	require.LessOrEqual(t, known(), 3+1+11)
+	require.Equal(t, 3+191, known()+len(w.forgotten), "each of those that came is known or was forgotten")
+	w.core.List([]core.Member{one(10, choice.Ready)}, true)
+	w.core.Flush()
+	c := &client{}
+	w.core.Submit(&core.Request{Front: "test", Name: "x", Group: 1, Expires: 5 * time.Second, Backend: w, Client: c})
+	w.core.Flush()
+	require.Len(t, w.out, 1)
+	require.Equal(t, choice.NodeID(10), w.out[0].Member.ID)
+
+	var many []core.Member
+	for id := choice.NodeID(1000); id < 10000; id++ {
+		many = append(many, one(id, choice.Ready))
+	}
+	before := known()
+	w.core.List(many, false)
+	w.core.Flush()
+	require.Equal(t, 4096, known())
+	require.EqualValues(t, before+len(many)-4096, w.core.Count.Unlisted)
+}
--- a/internal/flight/backend.go
+++ b/internal/flight/backend.go
@@ -56,6 +56,9 @@
 	}
 }
 
+// Forgotten has nothing to drop: the connection went when the database did.
+func (b *Backend) Forgotten(*core.Member) {}
+
 func (b *Backend) retire(id choice.NodeID, c *conn) {
 	if b.conns[id] == c {
 		delete(b.conns, id)
--- a/internal/net/pool.go
+++ b/internal/net/pool.go
@@ -120,6 +120,9 @@
 	}
 }
 
+// Forgotten drops what is held of a database that has been gone for long.
+func (p *Pool) Forgotten(m *core.Member) { delete(p.servers, m.ID) }
+
 // Retune takes in how long databases take to connect and keep idle connections. What waits already waits as before.
 func (p *Pool) Retune(l limits.Limits) {
 	p.limits.ConnectTimeout, p.limits.ProbeTimeout, p.limits.ServerIdle = l.ConnectTimeout, l.ProbeTimeout, l.ServerIdle
