Force six crossings by tests that were only read, and answer who comes at the end

- A break, an end or an answer in the middle of a statement (TestBreaksInsideAStatement; it takes in the test of early answers).
With the outbound bytes left out of closed() the reset case fails: the write was failed and not sent again.
- A database that is gone or banned during a dial (TestDatabaseOutWhileADialIsUnderWay).
Without the drops in Pool.Changed: no answer.
- A request that crosses an eviction (TestRequestThatCrossesAnEviction).
Without vacate: a reset.
- A connection accepted as the listener is closed (TestConnectionThatCrossesTheEnd, with a variant that holds it back until then).

Change: the front ended such a connection unread, which counts as no answer. Since the core refuses all from Abandon on, the front needs no look of its own: its state 'stopping' is gone, and the client is told 53300. Against the tree of before the test sees an end without a code.

--- a/internal/net/crossings_test.go
+++ b/internal/net/crossings_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"regexp"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -272,63 +274,157 @@
 	require.Len(t, b.Databases[1].Got(), before)
 }
 
-// A database that answers before it has the whole of a statement answers something else: its client is not given that. The write may
-// have run, as its rest may still go out, and is sent to nobody else.
-func TestAnswerBeforeTheStatementIsWritten(t *testing.T) {
+// A database answers, resets the connection or ends it while it has a part of a statement only. What it answers is to something else, and
+// its client is not given that; behind an answer or an end the rest may still go out, so that the write may have run and is sent to
+// nobody else; behind a reset nothing goes out: the write never ran, and is sent again.
+func TestBreaksInsideAStatement(t *testing.T) {
 	dial := `c, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)`
 	program := testbed.Variant(t, testbed.Edit{File: "internal/net/pool.go", // so that the rest of a statement has to wait
 		Old: dial, New: dial + "; if err == nil { c.(*net.TCPConn).SetWriteBuffer(4 << 10) }"})
-	small := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
-		return c.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
-	}}
-	l, err := small.Listen(t.Context(), "tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { l.Close() })
-	db := &peer{t: t, addr: l.Addr().String()}
-	var mu sync.Mutex
-	begun := 0 // long statements
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				session, buf := pg.NewSession(1<<20), make([]byte, 1<<10)
-				for {
-					n, err := c.Read(buf)
-					if err != nil {
-						return
-					}
-					session.Feed(buf[:n])
-					for command, ok := session.Next(); ok; command, ok = session.Next() {
-						reply := command.Reply
-						if command.Query != "" {
-							reply = pg.AppendValue(pg.AppendParameter(nil, "mode", "read-write"), fmt.Sprintf("x0=%d,x1=1", time.Now().Unix()))
-						}
-						c.Write(reply)
+	value := func(v string) []byte { return pg.AppendValue(pg.AppendParameter(nil, "mode", "read-write"), v) }
+	for what, test := range map[string]struct {
+		do    func(c *net.TCPConn)
+		begun int // how often the database has seen the statement
+		code  string
+	}{
+		"answers": {func(c *net.TCPConn) { c.Write(value("of another")) }, 1, pg.CodeSystemError},
+		"resets":  {func(c *net.TCPConn) { c.SetLinger(0); c.Close() }, 2, ""},
+		"ends":    {func(c *net.TCPConn) { c.CloseWrite() }, 1, pg.CodeSystemError},
+	} {
+		small := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+			return c.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
+		}}
+		l, err := small.Listen(t.Context(), "tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		t.Cleanup(func() { l.Close() })
+		var begun atomic.Int32
+		serve := func(c *net.TCPConn) {
+			defer c.Close()
+			session, buf, inside := pg.NewSession(1<<20), make([]byte, 1<<10), false
+			for {
+				n, err := c.Read(buf)
+				if err != nil {
+					return
+				}
+				session.Feed(buf[:n])
+				for command, ok := session.Next(); ok; command, ok = session.Next() {
+					if inside = false; command.Query != "" {
+						command.Reply = value(fmt.Sprintf("x0=%d,x1=1", time.Now().Unix()))
 					}
-					if session.Held() > 512 { // the beginning of the long one
-						mu.Lock()
-						begun++
-						mu.Unlock()
-						c.Write(pg.AppendValue(pg.AppendParameter(nil, "mode", "read-write"), "of another"))
+					c.Write(command.Reply)
+				}
+				if session.Held() > 512 && !inside { // the beginning of the long one
+					if inside = true; begun.Add(1) == 1 {
+						test.do(c)
 						<-t.Context().Done()
 						return
 					}
 				}
-			}()
+			}
+		}
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go serve(c.(*net.TCPConn))
+			}
+		}()
+		b := testbed.Start(t, testbed.WithProgram(program), (&peer{addr: l.Addr().String()}).in(0), patient(true))
+		r := b.Client().Ask(b.Statement("write", strings.Repeat("ab", 60<<10), testbed.Patience))
+		require.Equal(t, test.code, r.Code, "%s: %q", what, r.Value)
+		require.EqualValues(t, test.begun, begun.Load(), what)
+		require.NotEmpty(t, b.Client().Ask(b.Statement("write", "short", testbed.Patience)).Value, "%s: the database is not taken out", what)
+	}
+}
+
+// A replica is gone, or banned, while a request waits for a connection to it: the request goes to the primary at once, and nothing to the
+// replica.
+func TestDatabaseOutWhileADialIsUnderWay(t *testing.T) {
+	for how, out := range map[string]func(b *testbed.Bed){
+		"gone": func(b *testbed.Bed) { b.List(b.Entry(1, "DELETED")) },
+		"banned": func(b *testbed.Bed) {
+			code, _ := b.Call("PUT", "/api/exclude/db-1")
+			require.Equal(t, 200, code)
+		},
+	} {
+		db := newPeer(t)
+		b := testbed.Start(t, patient(true), db.in(1))
+		c := b.Client()
+		c.Send(testbed.Query(b.Statement("report", "a", 4*testbed.Patience)))
+		conn := db.next()
+		out(b)
+		require.Equal(t, "from db-0", string(c.Next().Value), how)
+		conn.Write(pg.AppendReady([]byte{'R', 0, 0, 0, 8, 0, 0, 0, 0})) // it comes up now, if anybody still waits for it
+		text, _ := io.ReadAll(conn)
+		require.NotContains(t, string(text), "SELECT val", how)
+	}
+}
+
+// A client that is of no more use is ended for another one, and what it sends in that moment is dropped: it sees the end and no reset,
+// and no database sees its statement.
+func TestRequestThatCrossesAnEviction(t *testing.T) {
+	program := testbed.Variant(t, testbed.Edit{File: "internal/limits/limits.go", // so that no stall of the machine ends the wait
+		Old: "ClientLeaving:  250 * time.Millisecond", New: "ClientLeaving:  time.Hour"})
+	b := testbed.Start(t, testbed.WithProgram(program), func(b *testbed.Bed) { b.Sockets = 128 })
+	bad := b.Client()
+	require.Equal(t, pg.CodeSyntax, bad.Ask("SELECT 1").Code)
+	full := make(chan struct{})
+	go func() { // clients that wait for their answers, until there is no room
+		defer close(full)
+		for range 60 {
+			c, let := b.Reach(testbed.Patience)
+			if !let {
+				return
+			}
+			t.Cleanup(func() { c.Close() })
+			c.Write(testbed.Query(fmt.Sprintf("SELECT val FROM state WHERE uid = 'hold' /* id=%p,c=report,d=%d,cluster=3 */",
+				c, (10 * testbed.Patience).Milliseconds())))
 		}
 	}()
-	b := testbed.Start(t, testbed.WithProgram(program), db.in(0), patient(true))
-	c := b.Client()
-	r := c.Ask(b.Statement("write", strings.Repeat("ab", 60<<10), testbed.Patience))
-	require.Equal(t, pg.CodeSystemError, r.Code, "%q", r.Value)
-	require.NotEmpty(t, b.Client().Ask(b.Statement("write", "short", testbed.Patience)).Value, "the database is not taken out")
-	mu.Lock()
-	defer mu.Unlock()
-	require.Equal(t, 1, begun)
+	one := make([]byte, 1)
+	for range 3 {
+		bad.SetReadDeadline(time.Now().Add(testbed.Patience))
+		_, err := bad.Read(one)
+		require.ErrorContains(t, err, "EOF", "no reset")
+		bad.Send(testbed.Query(b.Statement("write", "late", second)))
+	}
+	<-full
+	for _, d := range b.Databases {
+		require.NotContains(t, strings.Join(d.Got(), "\n"), "late")
+		d.Release()
+	}
+}
+
+// A connection that is accepted as the listener is closed, and comes to the loop only behind the end, has its request refused, and nothing
+// of it reaches a database.
+func TestConnectionThatCrossesTheEnd(t *testing.T) {
+	program := testbed.Variant(t,
+		testbed.Edit{File: "internal/net/driver.go", Old: "d.client.EnrollContext(c, newcomer{})", New: `if taken.Add(1) > 2 { // the test's own
+					print("held back\n")
+					<-kept
+				}
+				d.client.EnrollContext(c, newcomer{})`},
+		testbed.Edit{File: "internal/net/driver.go", Old: "d.listener.Close() // It waits", New: "close(kept); d.listener.Close() // It waits"},
+		testbed.Edit{File: "internal/net/driver.go", Old: "// newcomer marks", New: `var (
+	taken atomic.Int64
+	kept  = make(chan struct{})
+)
+
+// newcomer marks`})
+	b := testbed.Start(t, testbed.WithProgram(program))
+	late := b.Dial()
+	_, err := late.Write(append(pg.AppendStartup(nil, "client", "core"), testbed.Query(b.Statement("write", "late", testbed.Patience))...))
+	require.NoError(t, err)
+	b.Eventually(func() bool { return b.Line("held back") != "" }, "it is accepted")
+	b.Signal(syscall.SIGTERM)
+	late.SetReadDeadline(time.Now().Add(testbed.Patience))
+	answer, err := io.ReadAll(late)
+	require.NoError(t, err, "an end and no reset")
+	require.Contains(t, string(answer), pg.CodeFull)
+	require.NoError(t, b.Wait())
+	require.Empty(t, b.Databases[0].Got())
 }
 
 // A command that waits unread behind a full pipeline has the less of its client's time left: the database is told so.
--- a/internal/net/front.go
+++ b/internal/net/front.go
@@ -31,7 +31,6 @@
 	mute     int // of them that have yet to start
 	leaving  int // beyond them: their end has gone out, and the client's is waited for
 	draining bool
-	stopping bool                     // no connection is taken in any more
 	held     int                      // bytes that the connections hold
 	logged   map[string]time.Duration // when each kind of bad input was last logged
 }
@@ -145,9 +144,6 @@
 	f.mute++
 	// Against connections that are opened and never used.
 	k.patient = f.core.Wheel.At(k.since+f.limits.Startup, func() { closeNow(c) })
-	if f.stopping { // it was accepted in the moment in which the listener was closed
-		k.shut()
-	}
 	return k
 }
 
@@ -556,11 +552,11 @@
 	return true
 }
 
-// Stop ends all connections: nothing that is read from here on is sent on. What has been read and not been taken is refused; what
-// the core has taken, abandon gives its answers. Against a request that is taken in the moment in which the program ends, and is
-// lost with it.
+// Stop ends all connections: nothing that is read from here on is sent on. What the core has taken, abandon gives its answers, and from
+// then on the core refuses what it is given: what has been read and not been taken, and what comes on a connection that was accepted
+// in the moment in which the listener was closed. Against a request that is taken as the program ends, and is lost with it.
 func (f *Front) Stop(abandon func()) {
-	f.draining, f.stopping = true, true
+	f.draining = true
 	abandon()
 	for k := range f.clients {
 		if k.closing {
