Turn settings down that no router can work with, by key, and test bad input from clients

Seen by reading: fallMs of 0 beside a coldMs is taken and ends the program at the first cold database (coldRoom divides by it; a small test of the harness: panic, integer divide by zero). What was turned down named no key: "3 classes, 3 read kinds, 0 routers, 10 attempts", "class 1: aim".

Change: settings.check names the key and the bound, pick the key and the words that it may be.

--- a/internal/net/crossings_test.go
+++ b/internal/net/crossings_test.go
@@ -453,3 +453,44 @@
 	require.Contains(t, got[len(got)-1], "unread")
 	require.LessOrEqual(t, told, (wait - spent).Milliseconds())
 }
+
+// Bytes may come one at a time: the startup and the statement are whole all the same.
+func TestBytesOneAtATime(t *testing.T) {
+	b := testbed.Start(t)
+	c := b.Dial()
+	c.(*net.TCPConn).SetNoDelay(true)
+	for _, one := range append(pg.AppendStartup(nil, "client", "core"), testbed.Query(b.Statement("write", "a", testbed.Patience))...) {
+		_, err := c.Write([]byte{one})
+		require.NoError(t, err)
+	}
+	c.SetReadDeadline(time.Now().Add(testbed.Patience))
+	answer := make([]byte, 0, 1<<10)
+	for !strings.Contains(string(answer), "from db-0") {
+		n, err := c.Read(answer[len(answer):cap(answer)])
+		require.NoError(t, err)
+		answer = answer[:len(answer)+n]
+	}
+	require.Len(t, b.Databases[0].Got(), 1)
+}
+
+// A client sends far more than may be out for it and goes: what was read of it is given up, and the rest is sent nowhere.
+func TestMuchSentAtOnceByOneThatGoes(t *testing.T) {
+	const limit, many = 8, 2000
+	b := testbed.Start(t)
+	c := b.Client()
+	var out []byte
+	for range many {
+		out = pg.AppendQuery(out, b.Statement("write", "hold", testbed.Patience))
+	}
+	c.Send(out)
+	c.Close()
+	b.Counters(func(c testbed.Counters) bool {
+		f := c.Core.Fronts["postgres"]
+		return f.Gone > 0 && f.Gone == f.Taken
+	})
+	b.Databases[0].Release()
+	for range 3 {
+		require.NotEmpty(t, b.Client().Ask(b.Statement("write", "other", testbed.Patience)).Value)
+	}
+	require.LessOrEqual(t, strings.Count(strings.Join(b.Databases[0].Got(), "\n"), "hold"), limit)
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"capercove/choice"
@@ -67,14 +69,49 @@
 
 func (m millis) time() time.Duration { return ms(float64(m)) }
 
-func pick[T any](what, word string, words map[string]T, err *error) T {
+// pick returns what a word means. One that means nothing here is an error that names its key and those that do.
+func pick[T any](key, word string, words map[string]T, err *error) T {
 	v, known := words[word]
 	if !known && *err == nil {
-		*err = fmt.Errorf("%s is %q", what, word)
+		*err = fmt.Errorf("%s: %q is none of %s", key, word, strings.Join(slices.Sorted(maps.Keys(words)), ", "))
 	}
 	return v
 }
 
+// check finds what no router can work with, and names its key.
+func (s *settings) check() error {
+	bad := func(format string, args ...any) error { return fmt.Errorf(format, args...) }
+	switch {
+	case s.Routers < 1:
+		return bad("balancers: %d is under 1", s.Routers)
+	case len(s.Lanes) == 0:
+		return bad("lanes: no class")
+	case len(s.Extra.ClassRead) != len(s.Lanes):
+		return bad("extra.classRead: %d words for %d classes", len(s.Extra.ClassRead), len(s.Lanes))
+	case s.Allowed.SendCap < 1:
+		return bad("allowed.sendCap: %d is under 1", s.Allowed.SendCap)
+	case s.Rules.Cold > 0 && s.Rules.Fall.time() <= 0: // the budget of a cold database is one for so long
+		return bad("rules.fallMs: %v is not over 0", float64(s.Rules.Fall))
+	}
+	dearest := 0.0
+	for i, l := range s.Lanes {
+		key := func(name string) string { return fmt.Sprintf("lanes[%d].%s", i, name) }
+		switch {
+		case l.Aim.time() <= 0:
+			return bad("%s: %v is not over 0", key("aimMs"), float64(l.Aim))
+		case l.Deadline < l.Aim:
+			return bad("%s: %v is under the class's aimMs, %v", key("deadlineMs"), float64(l.Deadline), float64(l.Aim))
+		case l.Credit < 0:
+			return bad("%s: %v is under 0", key("credit"), l.Credit)
+		}
+		dearest = max(dearest, l.Credit)
+	}
+	if dearest == 0 {
+		return bad("lanes: no class has a credit over 0")
+	}
+	return nil
+}
+
 // Facts are the parts of the settings that a real pooler needs beside the router's.
 type Facts struct {
 	Classes            []string // names, in the order of the router's classes
@@ -95,8 +132,15 @@
 	if !c.ListOnRequest {
 		c.ListOnRequest, c.ListBinds = true, min(c.ListBinds, c.DrainGrace)
 	}
-	if err == nil && (f.Connect <= 0 || f.Keepalive <= 0) {
-		err = fmt.Errorf("allowed.connectTimeoutMs is %v, allowed.keepaliveMs %v", f.Connect, f.Keepalive)
+	for key, value := range map[string]time.Duration{"allowed.connectTimeoutMs": f.Connect, "allowed.keepaliveMs": f.Keepalive} {
+		if err == nil && value <= 0 {
+			err = fmt.Errorf("%s: %v is not over 0", key, value)
+		}
+	}
+	for i, name := range f.Classes { // The simulator names none.
+		if err == nil && (name == "" || slices.Index(f.Classes, name) != i) {
+			err = fmt.Errorf("lanes[%d].name: %q is empty or another class's", i, name)
+		}
 	}
 	return c, f, err
 }
@@ -107,6 +151,9 @@
 	if err := json.Unmarshal(text, s); err != nil {
 		return choice.Settings{}, units{}, err
 	}
+	if err := s.check(); err != nil {
+		return choice.Settings{}, units{}, err
+	}
 	var err error
 	binds := listBinds
 	if w := s.Rules.AskWithin.time(); w > 0 {
@@ -114,11 +161,11 @@
 	}
 	c := choice.Settings{
 		Routers: s.Routers, OverQuota: s.OverShare,
-		StaleReads: pick("behind", s.Extra.Behind, map[string]choice.StaleReads{
+		StaleReads: pick("extra.behind", s.Extra.Behind, map[string]choice.StaleReads{
 			"none": choice.StaleAnswered, "bounce": choice.StaleRejected, "await": choice.StaleRejected}, &err),
-		ListRole: pick("listRole", s.Extra.ListRole, map[string]bool{
+		ListRole: pick("extra.listRole", s.Extra.ListRole, map[string]bool{
 			"none": false, "static": true, "trailing": true}, &err),
-		KeepSessions: pick("sessionMarks", s.Extra.Marks, map[string]bool{
+		KeepSessions: pick("extra.sessionMarks", s.Extra.Marks, map[string]bool{
 			"brought": false, "kept": true}, &err),
 		ListOnRequest: pick("membershipMode", s.Membership, map[string]bool{
 			"pushed": false, "on_request": true}, &err),
@@ -132,30 +179,23 @@
 	for _, p := range s.Projects {
 		c.Quotas = append(c.Quotas, p.Quota)
 	}
-	if len(s.Lanes) == 0 || len(s.Extra.ClassRead) != len(s.Lanes) || s.Routers < 1 || s.Allowed.SendCap < 1 {
-		return c, units{}, fmt.Errorf("%d classes, %d read kinds, %d routers, %d attempts",
-			len(s.Lanes), len(s.Extra.ClassRead), s.Routers, s.Allowed.SendCap)
-	}
 	for i, l := range s.Lanes {
 		class := choice.Class{
-			Read: pick("classRead", s.Extra.ClassRead[i], map[string]choice.ReadKind{"eventual": choice.AnyRead,
+			Read: pick(fmt.Sprintf("extra.classRead[%d]", i), s.Extra.ClassRead[i], map[string]choice.ReadKind{"eventual": choice.AnyRead,
 				"lag_bound": choice.BoundedRead, "causal": choice.SessionRead, "strong": choice.FreshRead,
 				"mutate": choice.Write}, &err),
-			Effect: pick("idempotency", l.Idempotency, map[string]choice.Effect{
+			Effect: pick(fmt.Sprintf("lanes[%d].idempotency", i), l.Idempotency, map[string]choice.Effect{
 				"safe": choice.Safe, "keyed": choice.Keyed, "unsafe": choice.Unsafe}, &err),
 			DedupWindow: l.Window.time(), Aim: l.Aim.time(), AimStretch: l.AimStretch, Deadline: l.Deadline.time(),
 			Worth: l.Credit, LateWorth: l.LateValue,
 		}
 		if class.Effect == choice.Keyed {
-			class.DedupGroup = pick("group", l.Group, map[string]choice.DedupGroup{
+			class.DedupGroup = pick(fmt.Sprintf("lanes[%d].group", i), l.Group, map[string]choice.DedupGroup{
 				"all": choice.DedupAll, "zone": choice.DedupZone, "cell": choice.DedupCell}, &err)
 		}
 		if i < len(s.Extra.MaxAge) {
 			class.MaxAge = s.Extra.MaxAge[i].time()
 		}
-		if class.Aim <= 0 || class.Deadline < class.Aim {
-			return c, units{}, fmt.Errorf("class %d: aim %v, deadline %v", i, class.Aim, class.Deadline)
-		}
 		c.Classes = append(c.Classes, class)
 	}
 	u := units{origin: s.Extra.Origin.time(), connect: s.Allowed.Connect.time(), x0: slices.Index(s.Feedback.Fields, "x0"),
