Keep the line that forgets nodes within the columns that lint allows

Only the comment is shorter. Beside it, look.go says plainly that a new group begins at 0: staticcheck took it for a slip (SA4018).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -247,7 +247,7 @@
 	for _, e := range entries {
 		r.entry(e)
 	}
-	r.nodes = slices.DeleteFunc(r.nodes, func(n *node) bool { // Against ever more of them as machines are replaced.
+	r.nodes = slices.DeleteFunc(r.nodes, func(n *node) bool { // Against ever more of them.
 		past := n.State == Gone && n.inFlight == 0 && !n.probing && r.now-max(n.toldOff, n.heard) > keepGone
 		if past {
 			delete(r.byID, n.ID)
--- a/internal/works/driver/look.go
+++ b/internal/works/driver/look.go
@@ -96,7 +96,9 @@
 	}
 	l.at = now
 	for group := range rates {
-		l.peaks[group] = l.peaks[group] // one that is new
+		if _, known := l.peaks[group]; !known {
+			l.peaks[group] = 0
+		}
 	}
 	for group, peak := range l.peaks {
 		l.peaks[group] = max(rates[group], peak*fade)
