--- a/cmd/capercove-lab/main.go
+++ b/cmd/capercove-lab/main.go
@@ -20,8 +20,8 @@
 
 	"capercove/internal/lab"
 	"capercove/internal/load"
+	"capercove/internal/scenario"
 	"capercove/internal/standin"
-	"capercove/internal/world"
 )
 
 // Exit statuses.
@@ -85,7 +85,7 @@
 	c.Flags().StringVar(&program, "binary", binary(), "the pooler")
 	c.Flags().Uint64Var(&seed, "seed", 0, "another seed than the scenario's")
 	c.RunE = func(c *cobra.Command, args []string) error {
-		w, err := world.LoadFile(args[0])
+		w, err := scenario.LoadFile(args[0])
 		if err != nil {
 			return err
 		}
@@ -114,7 +114,7 @@
 	return c
 }
 
-func play(ctx context.Context, w *world.World, inModel bool, program string) (*lab.Run, error) {
+func play(ctx context.Context, w *scenario.Scenario, inModel bool, program string) (*lab.Run, error) {
 	if inModel {
 		return lab.Model(w)
 	}
@@ -126,7 +126,7 @@
 }
 
 // progress prints a line now and then: over itself on a terminal, and a new one each five seconds elsewhere.
-func progress(w *world.World) func(time.Duration, *load.Driver) {
+func progress(w *scenario.Scenario) func(time.Duration, *load.Driver) {
 	terminal := isatty.IsTerminal(os.Stderr.Fd())
 	last := time.Duration(0)
 	return func(at time.Duration, d *load.Driver) {
@@ -178,7 +178,7 @@
 	c.Flags().StringVar(&listen, "listen", "127.0.0.1:6543", "where the pooler is to listen")
 	c.Flags().StringVar(&management, "management", "127.0.0.1:6544", "where operators call it")
 	c.RunE = func(c *cobra.Command, args []string) error {
-		w, err := world.LoadFile(args[0])
+		w, err := scenario.LoadFile(args[0])
 		if err != nil {
 			return err
 		}
@@ -225,7 +225,7 @@
 			if len(args) == 3 {
 				path, program = args[2], args[which]
 			}
-			w, err := world.LoadFile(path)
+			w, err := scenario.LoadFile(path)
 			if err != nil {
 				return 0, err
 			}
@@ -254,7 +254,7 @@
 		RunE: func(c *cobra.Command, args []string) error {
 			var all error
 			for _, path := range args {
-				if _, err := world.LoadFile(path); err != nil {
+				if _, err := scenario.LoadFile(path); err != nil {
 					all = errors.Join(all, err)
 				} else {
 					fmt.Fprintln(c.OutOrStdout(), path, "is good")
@@ -272,15 +272,15 @@
 	c.Flags().StringVar(&path, "out", "", "file for the table; otherwise it is printed")
 	c.RunE = func(c *cobra.Command, args []string) error {
 		var pairs [][2]*lab.Run
-		for _, scenario := range args {
+		for _, file := range args {
 			var pair [2]*lab.Run
 			for i := range pair {
-				w, err := world.LoadFile(scenario)
+				w, err := scenario.LoadFile(file)
 				if err == nil {
 					pair[i], err = play(c.Context(), w, i == 1, program)
 				}
 				if err == nil && pair[i].Void != "" {
-					err = status{void, fmt.Errorf("%s: the run is void: %s", scenario, pair[i].Void)}
+					err = status{void, fmt.Errorf("%s: the run is void: %s", file, pair[i].Void)}
 				}
 				if err != nil {
 					return err
--- a/cmd/capercove/main.go
+++ b/cmd/capercove/main.go
@@ -27,6 +27,7 @@
 	"capercove/internal/core"
 	"capercove/internal/discovery"
 	"capercove/internal/door"
+	"capercove/internal/fdshare"
 	"capercove/internal/fleet/gossip"
 	"capercove/internal/flight"
 	"capercove/internal/intake"
@@ -35,7 +36,6 @@
 	"capercove/internal/pcap"
 	"capercove/internal/peers"
 	"capercove/internal/server"
-	"capercove/internal/share"
 	"capercove/internal/statement"
 	"capercove/internal/store"
 	"capercove/internal/tenant"
@@ -110,7 +110,7 @@
 	bans   *bans.File
 	own    file // as config
 	intake *intake.Intake
-	driver *server.EventLoop
+	loop   *server.EventLoop
 	core   *core.Core
 	pool   *server.Pool
 	front  *server.Front
@@ -120,8 +120,8 @@
 	peers  *peers.Peers
 	works  *driver.Driver
 	tap    *pcap.Writer
-	stops  chan struct{} // closed on SIGTERM
-	beside *share.Beside // the loop's to begin with, then the goroutine's that settles; nil where it stands alone
+	stops  chan struct{}   // closed on SIGTERM
+	beside *fdshare.Beside // the loop's to begin with, then the goroutine's that settles; nil where it stands alone
 }
 
 func run(log zerolog.Logger) error {
@@ -134,7 +134,7 @@
 	if err != nil {
 		return err
 	}
-	var beside *share.Beside
+	var beside *fdshare.Beside
 	if cfg.ListenFD > 0 {
 		beside = besides(cfg, log)
 	}
@@ -152,9 +152,9 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	p.driver = server.New(l, log, listener)
-	p.core = core.New(settings(cfg), cfg.Seed, l, log, clock(), func() { p.driver.Do(p.core.Flush) }, p.driver.Accept)
-	p.pool = server.NewPool(p.driver, l, log, p.core)
+	p.loop = server.New(l, log, listener)
+	p.core = core.New(settings(cfg), cfg.Seed, l, log, clock(), func() { p.loop.Do(p.core.Flush) }, p.loop.Accept)
+	p.pool = server.NewPool(p.loop, l, log, p.core)
 	in := intake.New(p.core)
 	p.own, p.intake = own, in
 	if own.Door.Enabled {
@@ -173,19 +173,19 @@
 		tap = p.tap
 	}
 	p.front = server.NewFront(l, log, p.core, in, p.pool, tap)
-	p.driver.Core, p.driver.Front, p.driver.Pool = p.core, p.front, p.pool
+	p.loop.Core, p.loop.Front, p.loop.Pool = p.core, p.front, p.pool
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	p.watch = discovery.New(ctx, cfg.Discovery, cfg.Known, l, log,
 		func(list discovery.List) {
-			p.driver.Do(func() { p.core.List(list.Entries(cfg.Facts.Zones), list.Complete) })
+			p.loop.Do(func() { p.core.List(members(list, cfg.Facts.Zones), list.Complete) })
 		},
-		func() { p.driver.Do(p.core.ListFailed) })
+		func() { p.loop.Do(p.core.ListFailed) })
 	watchers := []core.Watcher{p.pool}
 	if own.Flight.Listen != "" {
-		backend := flight.NewBackend(own.Flight, l, log, p.core, p.driver.Do)
+		backend := flight.NewBackend(own.Flight, l, log, p.core, p.loop.Do)
 		watchers = append(watchers, backend)
-		if p.flight, err = flight.NewFront(l, log, p.core, in, p.driver.Do, backend); err != nil {
+		if p.flight, err = flight.NewFront(l, log, p.core, in, p.loop.Do, backend); err != nil {
 			return err
 		}
 		go func() {
@@ -200,7 +200,7 @@
 		for name, at := range set {
 			banned[discovery.ID(name)] = time.Duration(at) * time.Millisecond
 		}
-		p.driver.Do(func() { p.core.Ban(banned) })
+		p.loop.Do(func() { p.core.Ban(banned) })
 	})
 	if cfg.Management != "" {
 		operators, err := net.Listen("tcp", cfg.Management)
@@ -216,7 +216,7 @@
 			return err
 		}
 		p.store.Put("config/"+cfg.Name, cfg.Public())
-		go p.driver.Do(func() { p.keep(cfg.Name) })
+		go p.loop.Do(func() { p.keep(cfg.Name) })
 	}
 	if own.Fleet.Enabled {
 		if err := p.join(); err != nil {
@@ -233,20 +233,20 @@
 			p.core.KeepOff(own.Works.Off(p.core.Now()))
 			p.works = p.work()
 		}
-		p.core.Known(cfg.Known.Entries(cfg.Facts.Zones))
+		p.core.Known(members(cfg.Known, cfg.Facts.Zones))
 		p.bans.Look()
-		p.driver.Do(p.core.Start) // behind the bans: they hold before anything is sent
+		p.loop.Do(p.core.Start) // behind the bans: they hold before anything is sent
 		go p.bans.Watch(ctx, l.Bans)
 		if p.beside != nil {
 			go p.settle(ctx)
 		}
 		if own.Pcap.Read != "" { // behind the list: before, the groups that it asks for are not there
 			replay := &pcap.Replay{Config: own.Pcap, Limits: l, Log: log, Core: p.core, Intake: in, Backend: p.pool,
-				Do: p.driver.Do, Stop: p.stops}
+				Do: p.loop.Do, Stop: p.stops}
 			go replay.Run()
 		}
 	}
-	if err := p.driver.Run(start); err != nil {
+	if err := p.loop.Run(start); err != nil {
 		return fmt.Errorf("event loop: %w", err)
 	}
 	p.counters("stopped")
@@ -272,7 +272,7 @@
 	_, version, _ := build()
 	self := peers.Self{Version: version[:min(len(version), 12)], Zone: own.Zone, Since: time.Now().UnixMilli(), Listen: cfg.Listen, Management: cfg.Management,
 		Settings: digest(cfg)}
-	p.peers = peers.New(cfg.Name, own.Uses, self, cfg.Settings.Routers, peers.Pooler{Core: p.core, Do: p.driver.Do, Keep: p.pool.Keep,
+	p.peers = peers.New(cfg.Name, own.Uses, self, cfg.Settings.Routers, peers.Pooler{Core: p.core, Do: p.loop.Do, Keep: p.pool.Keep,
 		Connections: func() int { return p.front.Clients() + p.pool.Conns() }, Log: p.log})
 	p.fleet, err = gossip.Start(cfg.Name, own, own.Pace(), p.log, clock(), p.peers.Period)
 	return err
@@ -291,7 +291,7 @@
 	if host, _, err := net.SplitHostPort(p.own.Fleet.Listen); err == nil {
 		from = net.ParseIP(host)
 	}
-	return driver.Start(p.own.Works, driver.Pooler{Name: cfg.Name, Core: p.core, Do: p.driver.Do, Store: p.store,
+	return driver.Start(p.own.Works, driver.Pooler{Name: cfg.Name, Core: p.core, Do: p.loop.Do, Store: p.store,
 		Client: store.NewClient(p.own.records(), p.limits.StoreWait, from), Fleet: p.fleet.State, Incarnation: p.fleet.Incarnation, Joined: p.fleet.Joined,
 		Zones: cfg.Facts.Zones, Fresh: fresh, Clock: p.core.Now, Log: p.log})
 }
@@ -303,6 +303,15 @@
 	return strconv.FormatUint(h.Sum64(), 16)
 }
 
+// members is a list in the core's form.
+func members(l discovery.List, zones []string) []core.Member {
+	all := make([]core.Member, 0, len(l.Members))
+	for _, e := range l.Members {
+		all = append(all, core.Member{Node: e.Node(zones), Name: e.ID, Addr: e.Addr})
+	}
+	return all
+}
+
 // limitsOf are the limits that a configuration asks for.
 func limitsOf(c config.Config) limits.Limits {
 	var longest time.Duration
@@ -333,7 +342,7 @@
 
 func (o operator) Works(bears float64) any {
 	found := make(chan *driver.Driver, 1)
-	o.p.driver.Do(func() { found <- o.p.works })
+	o.p.loop.Do(func() { found <- o.p.works })
 	if d := <-found; d != nil {
 		return d.Show(bears)
 	}
@@ -342,7 +351,7 @@
 
 func (o operator) Statements() *management.Statements {
 	found := make(chan *management.Statements, 1)
-	o.p.driver.Do(func() {
+	o.p.loop.Do(func() {
 		r := o.p.intake.Readings()
 		if r == nil {
 			found <- nil
@@ -357,7 +366,7 @@
 
 func (o operator) Ban(name string, banned bool) (known bool, err error) {
 	found := make(chan bool)
-	o.p.driver.Do(func() { found <- o.p.core.Has(discovery.ID(name)) })
+	o.p.loop.Do(func() { found <- o.p.core.Has(discovery.ID(name)) })
 	if !<-found && !o.p.bans.Has(name) {
 		return false, nil
 	}
@@ -365,14 +374,14 @@
 		return true, err
 	}
 	holds := make(chan struct{})
-	o.p.driver.Do(func() { close(holds) }) // behind the change
+	o.p.loop.Do(func() { close(holds) }) // behind the change
 	<-holds
 	return true, nil
 }
 
 // besides gives a process its place among others of its pooler.
-func besides(c config.Config, log zerolog.Logger) *share.Beside {
-	b, err := share.Join(os.TempDir(), c.Name, c.Machine.Sockets)
+func besides(c config.Config, log zerolog.Logger) *fdshare.Beside {
+	b, err := fdshare.Join(os.TempDir(), c.Name, c.Machine.Sockets)
 	if err != nil {
 		log.Error().Err(err).Msg("share: cannot be settled; half of the descriptors are used")
 	}
@@ -393,7 +402,7 @@
 	for ctx.Err() == nil {
 		err := p.beside.Settle(leaving, descriptors, func(room int) {
 			done := make(chan struct{})
-			p.driver.Do(func() {
+			p.loop.Do(func() {
 				defer close(done)
 				room = max(0, room-p.limits.Accepting) / 2 // Against a client and a database that both take the last one.
 				p.front.Limit(p.limits, room)
@@ -404,7 +413,7 @@
 			case <-ctx.Done():
 			}
 		})
-		if err != nil && err != share.ErrBusy && err.Error() != failed {
+		if err != nil && err != fdshare.ErrBusy && err.Error() != failed {
 			failed = err.Error()
 			p.log.Error().Err(err).Int("takes", p.beside.Takes()).Msg("share: cannot be settled; the part is kept")
 		}
@@ -450,12 +459,12 @@
 func (p *program) follow(s signals) {
 	go func() {
 		<-s.end
-		p.driver.Do(p.stop)
+		p.loop.Do(p.stop)
 	}()
 	for {
 		select {
 		case <-s.print:
-			p.driver.Do(func() { p.counters("counters") })
+			p.loop.Do(func() { p.counters("counters") })
 		case <-s.reload:
 			p.reload()
 		}
@@ -475,7 +484,7 @@
 		rules, err = own.Door.TenantRules()
 	}
 	if err != nil {
-		p.driver.Do(p.core.TurnedDown)
+		p.loop.Do(p.core.TurnedDown)
 		p.log.Error().Err(err).Msg("reload: the configuration is kept")
 		return
 	}
@@ -498,7 +507,7 @@
 	p.own.Door = own.Door
 	p.own.Door.Enabled = fair
 	l := limitsOf(c)
-	p.driver.Do(func() {
+	p.loop.Do(func() {
 		p.core.Retune(settings(c))
 		p.intake.Statements(own.Statements, l.Shapes, c.Seed, l.LogEvery, p.log)
 		if fair {
@@ -527,7 +536,7 @@
 	draining, ending, refusing := false, false, false
 	if p.shared { // Others accept: whom this process has not taken in is theirs, at once.
 		linger = p.limits.Stop
-		p.driver.Refuse(func() { linger, refusing = 0, true })
+		p.loop.Refuse(func() { linger, refusing = 0, true })
 	}
 	var check func()
 	check = func() {
@@ -544,11 +553,11 @@
 			ending = true
 			p.front.Stop(p.core.Abandon)
 			if !p.shared {
-				p.driver.Refuse(func() { refusing = true })
+				p.loop.Refuse(func() { refusing = true })
 			}
 		}
 		if now >= by || ending && refusing && flightDone && p.front.Left() {
-			p.driver.Stop()
+			p.loop.Stop()
 			return
 		}
 		p.core.Wheel.At(now+4*p.limits.Tick, check)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -12,8 +12,8 @@
 	"github.com/rs/zerolog"
 
 	"capercove/choice"
-	"capercove/internal/hold"
 	"capercove/internal/limits"
+	"capercove/internal/pending"
 	"capercove/internal/wheel"
 )
 
@@ -190,8 +190,8 @@
 	requests map[choice.RequestID]*Request
 	names    map[string]struct{} // of the open requests
 	last     choice.RequestID
-	door     *fair                        // nil: all come in at once
-	held     hold.Queue[choice.RequestID] // with the router, and sent nowhere yet
+	door     *fair                           // nil: all come in at once
+	held     pending.Queue[choice.RequestID] // with the router, and sent nowhere yet
 	events   []choice.Event
 	actions  []choice.Action
 }
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -20,7 +20,6 @@
 	"github.com/rs/zerolog"
 
 	"capercove/choice"
-	"capercove/internal/core"
 	"capercove/internal/limits"
 )
 
@@ -81,20 +80,14 @@
 	return choice.NodeID(h.Sum64())
 }
 
-// Entries turns a list into the core's form. Zones are numbered as in the settings.
-func (l List) Entries(zones []string) []core.Member {
-	members := make([]core.Member, 0, len(l.Members))
-	for _, e := range l.Members {
-		m := core.Member{Name: e.ID, Addr: e.Addr}
-		m.ID, m.State, m.Group = ID(e.ID), phases[e.Phase], e.Cell
-		if m.Zone = slices.Index(zones, e.Locality); m.Zone < 0 {
-			m.Zone = len(zones) + int(uint32(ID(e.Locality))) // unknown to the settings, yet told apart
-		}
-		m.Primary = e.Mode == "read-write"
-		m.Started = time.Duration(e.UpSince) * time.Millisecond
-		members = append(members, m)
+// Node is the entry as the router takes it. Zones are numbered as in the settings.
+func (e Entry) Node(zones []string) choice.Node {
+	zone := slices.Index(zones, e.Locality)
+	if zone < 0 {
+		zone = len(zones) + int(uint32(ID(e.Locality))) // unknown to the settings, yet told apart
 	}
-	return members
+	return choice.Node{ID: ID(e.ID), State: phases[e.Phase], Group: e.Cell, Zone: zone, Primary: e.Mode == "read-write",
+		Started: time.Duration(e.UpSince) * time.Millisecond}
 }
 
 // Watch asks discovery. It implements core.Lister.
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -13,8 +13,8 @@
 
 	"github.com/zeebo/xxh3"
 
+	"capercove/internal/scenario"
 	"capercove/internal/sim"
-	"capercove/internal/world"
 )
 
 // State of a database as the list tells it.
@@ -34,7 +34,7 @@
 
 // Fleet is all families.
 type Fleet struct {
-	World    *world.World
+	World    *scenario.Scenario
 	Loop     sim.Loop
 	Ledger   *Ledger
 	Families []*Family
@@ -44,9 +44,9 @@
 	Revision uint64
 
 	// Edges are told of what they must carry out; each may be nil.
-	Changed func(*Member)       // its state in the list, its start, or whether its process runs
-	Pooler  func(f world.Fault) // a fault of a pooler
-	Listing func(f world.Fault) // a fault of the list
+	Changed func(*Member)          // its state in the list, its start, or whether its process runs
+	Pooler  func(f scenario.Fault) // a fault of a pooler
+	Listing func(f scenario.Fault) // a fault of the list
 
 	rng *rand.Rand
 	cut map[string]bool // zones
@@ -54,7 +54,7 @@
 
 // Family is a primary and its replicas.
 type Family struct {
-	world.Family
+	scenario.Family
 	fleet   *Fleet
 	Members []*Member
 	leader  *Member // nil: there is none
@@ -102,7 +102,7 @@
 type Job struct {
 	Request string
 	Pooler  string
-	Class   *world.Class
+	Class   *scenario.Class
 	Write   bool
 	Done    func(Answer) // called once, on the loop; never if the database dies or hangs first, or the job is dropped
 
@@ -111,7 +111,7 @@
 }
 
 // Writes tells whether a statement writes, whatever its label.
-func Writes(class *world.Class, sql string) bool {
+func Writes(class *scenario.Class, sql string) bool {
 	return class.Kind == "write" || strings.Contains(sql, "nextval(")
 }
 
@@ -141,13 +141,13 @@
 }
 
 // New returns a fleet that is warm and led by the first member of each family.
-func New(w *world.World, loop sim.Loop) *Fleet {
+func New(w *scenario.Scenario, loop sim.Loop) *Fleet {
 	f := &Fleet{World: w, Loop: loop, Start: loop.Now(), Revision: 1, rng: rand.New(rand.NewPCG(w.Seed, 0x666c656574)), cut: map[string]bool{}}
 	f.Ledger = newLedger(f.Start)
 	for _, described := range w.Families {
 		family := &Family{Family: described, fleet: f}
 		for i := range described.Members {
-			m := &Member{Name: world.DatabaseName(described.Group, i), Zone: described.Zone(i), Family: family, fleet: f, running: true,
+			m := &Member{Name: scenario.DatabaseName(described.Group, i), Zone: described.Zone(i), Family: family, fleet: f, running: true,
 				slow: 1, lag: 1, working: map[*Job]struct{}{}}
 			family.Members = append(family.Members, m)
 			f.Members = append(f.Members, m)
@@ -163,7 +163,7 @@
 	f.Start = f.Loop.Now()
 	f.Ledger.start = f.Start
 	for _, fault := range f.World.Faults {
-		f.Loop.At(f.Start+world.Seconds(fault.At), func() { f.fault(fault) })
+		f.Loop.At(f.Start+scenario.Seconds(fault.At), func() { f.fault(fault) })
 	}
 }
 
@@ -186,10 +186,10 @@
 	f.Events = append(f.Events, Event{f.Loop.Now() - f.Start, fmt.Sprintf(format, a...)})
 }
 
-func (f *Fleet) draw(r world.Range) float64 { return r[0] + (r[1]-r[0])*f.rng.Float64() }
+func (f *Fleet) draw(r scenario.Range) float64 { return r[0] + (r[1]-r[0])*f.rng.Float64() }
 
 func (f *Fleet) after(seconds float64, call func()) {
-	f.Loop.At(f.Loop.Now()+world.Seconds(seconds), call)
+	f.Loop.At(f.Loop.Now()+scenario.Seconds(seconds), call)
 }
 
 // Parted tells whether two zones cannot reach each other.
@@ -197,7 +197,7 @@
 
 // ---- Faults
 
-func (f *Fleet) fault(x world.Fault) {
+func (f *Fleet) fault(x scenario.Fault) {
 	m := f.Member(x.Target)
 	note := func(what string) {
 		name := x.Target
@@ -454,7 +454,7 @@
 	case len(m.backlog) > 0:
 		m.position = max(m.position, m.backlog[0]-time.Millisecond)
 	default:
-		m.position = max(m.position, now-world.Millis(m.fleet.World.Server.ShipMS[1]))
+		m.position = max(m.position, now-scenario.Millis(m.fleet.World.Server.ShipMS[1]))
 	}
 	return m.position
 }
@@ -467,7 +467,7 @@
 			continue
 		}
 		life, turn := m.life, f.turn
-		f.fleet.Loop.At(at+world.Millis(f.fleet.draw(w.Server.ShipMS)), func() {
+		f.fleet.Loop.At(at+scenario.Millis(f.fleet.draw(w.Server.ShipMS)), func() {
 			if m.life == life && f.turn == turn && !m.frozen {
 				m.backlog = append(m.backlog, at)
 				m.apply()
@@ -550,7 +550,7 @@
 func (m *Member) push(now time.Duration, work float64) {
 	s := &m.fleet.World.Server
 	m.sent = append(m.sent, load{now, work})
-	for len(m.sent) > 0 && now-m.sent[0].at > world.Seconds(s.FallTime) {
+	for len(m.sent) > 0 && now-m.sent[0].at > scenario.Seconds(s.FallTime) {
 		m.sent = m.sent[1:]
 	}
 	sum := 0.0
@@ -668,7 +668,7 @@
 func (m *Member) Probe() Report {
 	now := m.fleet.Loop.Now()
 	m.spend(m.fleet.World.Server.ProbeMS)
-	if m.reported == 0 || now-m.reported > world.Millis(m.fleet.World.Server.ReportMS) {
+	if m.reported == 0 || now-m.reported > scenario.Millis(m.fleet.World.Server.ReportMS) {
 		m.reported = now
 		m.report = Report{m.Position(), m.Claims(), float64(m.busy) / float64(m.fleet.World.Server.Cores)}
 	}
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -9,16 +9,16 @@
 
 	"github.com/stretchr/testify/require"
 
+	"capercove/internal/scenario"
 	"capercove/internal/sim"
-	"capercove/internal/world"
 )
 
-func fleet(t *testing.T, change func(*world.World)) (*Fleet, *sim.Virtual) {
-	w := world.Defaults()
-	w.Families = []world.Family{{Group: 1, Members: 3, Zones: []string{"a", "b"}}}
-	w.Classes = []world.Class{{Name: "read", Kind: "bounded", WorkMS: world.Range{50, 80}, AimMS: 300, DeadlineMS: 1200, MaxAgeMS: 500},
-		{Name: "report", Kind: "any", WorkMS: world.Range{1000, 1000}, AimMS: 5000, DeadlineMS: 10000, Blocks: true},
-		{Name: "write", Kind: "write", WorkMS: world.Range{100, 100}, AimMS: 1000, DeadlineMS: 3000}}
+func fleet(t *testing.T, change func(*scenario.Scenario)) (*Fleet, *sim.Virtual) {
+	w := scenario.Defaults()
+	w.Families = []scenario.Family{{Group: 1, Members: 3, Zones: []string{"a", "b"}}}
+	w.Classes = []scenario.Class{{Name: "read", Kind: "bounded", WorkMS: scenario.Range{50, 80}, AimMS: 300, DeadlineMS: 1200, MaxAgeMS: 500},
+		{Name: "report", Kind: "any", WorkMS: scenario.Range{1000, 1000}, AimMS: 5000, DeadlineMS: 10000, Blocks: true},
+		{Name: "write", Kind: "write", WorkMS: scenario.Range{100, 100}, AimMS: 1000, DeadlineMS: 3000}}
 	if change != nil {
 		change(&w)
 	}
@@ -73,8 +73,8 @@
 
 // A primary that dies is given up, a replica takes over, and the old one comes back as a replica.
 func TestElection(t *testing.T) {
-	f, loop := fleet(t, func(w *world.World) {
-		w.Faults = []world.Fault{{At: 1, For: 5, Kind: "crash", Target: "primary-1"}, {At: 2, Kind: "crash", Target: "g1-0"}}
+	f, loop := fleet(t, func(w *scenario.Scenario) {
+		w.Faults = []scenario.Fault{{At: 1, For: 5, Kind: "crash", Target: "primary-1"}, {At: 2, Kind: "crash", Target: "g1-0"}}
 	})
 	old := f.Members[0]
 	loop.Run(f.Start + 1500*time.Millisecond)
@@ -98,8 +98,8 @@
 
 // One that hangs takes requests and answers none until it goes on.
 func TestHang(t *testing.T) {
-	f, loop := fleet(t, func(w *world.World) {
-		w.Faults = []world.Fault{{At: 1, For: 0.5, Kind: "hang", Target: "g1-1"}}
+	f, loop := fleet(t, func(w *scenario.Scenario) {
+		w.Faults = []scenario.Fault{{At: 1, For: 0.5, Kind: "hang", Target: "g1-1"}}
 	})
 	r := f.Members[1]
 	loop.Run(f.Start + 1100*time.Millisecond)
@@ -172,8 +172,8 @@
 
 // A usurper takes writes, which are counted as lost.
 func TestUsurper(t *testing.T) {
-	f, loop := fleet(t, func(w *world.World) {
-		w.Faults = []world.Fault{{At: 1, For: 2, Kind: "usurp", Target: "g1-2"}}
+	f, loop := fleet(t, func(w *scenario.Scenario) {
+		w.Faults = []scenario.Fault{{At: 1, For: 2, Kind: "usurp", Target: "g1-2"}}
 	})
 	loop.Run(f.Start + 1500*time.Millisecond)
 	m := f.Members[2]
@@ -188,8 +188,8 @@
 
 // A zone that is cut off does not get the log, nor answers anybody outside it.
 func TestCut(t *testing.T) {
-	f, loop := fleet(t, func(w *world.World) {
-		w.Faults = []world.Fault{{At: 1, For: 2, Kind: "cut", Target: "b"}}
+	f, loop := fleet(t, func(w *scenario.Scenario) {
+		w.Faults = []scenario.Fault{{At: 1, For: 2, Kind: "cut", Target: "b"}}
 	})
 	loop.Run(f.Start + 2500*time.Millisecond)
 	r := f.Members[1] // of zone b
@@ -220,10 +220,10 @@
 		require.Contains(t, good, change[0])
 		path := t.TempDir() + "/s.toml"
 		require.NoError(t, write(path, good))
-		_, err := world.LoadFile(path)
+		_, err := scenario.LoadFile(path)
 		require.NoError(t, err)
 		require.NoError(t, write(path, strings.Replace(good, change[0], change[1], 1)))
-		_, err = world.LoadFile(path)
+		_, err = scenario.LoadFile(path)
 		require.ErrorContains(t, err, want)
 		require.ErrorContains(t, err, "s.toml:")
 	}
--- a/internal/emulator/ledger.go
+++ b/internal/emulator/ledger.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"capercove/internal/world"
+	"capercove/internal/scenario"
 )
 
 // Rule is one that poolers must keep.
@@ -85,7 +85,7 @@
 func (l *Ledger) Asked(request string) { l.of(request).asked = true }
 
 // Arrived notes that a whole attempt has come to a database.
-func (l *Ledger) Arrived(now time.Duration, request, pooler string, m *Member, write bool, class *world.Class) {
+func (l *Ledger) Arrived(now time.Duration, request, pooler string, m *Member, write bool, class *scenario.Class) {
 	h := l.of(request)
 	h.write = h.write || write
 	if h.out++; h.out > 1 {
@@ -95,7 +95,7 @@
 		l.breach(now, Drained, request, m.Name)
 	}
 	if class != nil && class.Kind == "bounded" && !write && !m.Leads() {
-		if age := now - m.Position(); age > world.Millis(class.MaxAgeMS)+grace {
+		if age := now - m.Position(); age > scenario.Millis(class.MaxAgeMS)+grace {
 			l.breach(now, Stale, request, fmt.Sprintf("%s, %d ms old", m.Name, age.Milliseconds()))
 		}
 	}
--- a/internal/rig/rig_test.go
+++ b/internal/faults/faults_test.go
@@ -1,4 +1,4 @@
-package rig_test
+package faults_test
 
 import (
 	"bytes"
@@ -12,7 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"capercove/internal/rig"
+	"capercove/internal/faults"
 )
 
 const patience = 20 * time.Second
@@ -21,7 +21,7 @@
 
 // echo is a process that answers each datagram and each stream with what came, until the test ends.
 func echo(t *testing.T) netip.AddrPort {
-	l, u, err := rig.Listen(anywhere)
+	l, u, err := faults.Listen(anywhere)
 	require.NoError(t, err)
 	at := l.Addr().(*net.TCPAddr).AddrPort()
 	t.Cleanup(func() { l.Close(); u.Close() })
@@ -48,8 +48,8 @@
 }
 
 // two returns a net with a process "b" behind a relay, and a way to reach it as "a", from an address of its own.
-func two(t *testing.T, seed uint64) (n *rig.Net, stream func() net.Conn, datagrams func() *net.UDPConn, dial func() (net.Conn, error)) {
-	n = rig.New(seed)
+func two(t *testing.T, seed uint64) (n *faults.Net, stream func() net.Conn, datagrams func() *net.UDPConn, dial func() (net.Conn, error)) {
+	n = faults.New(seed)
 	own := netip.MustParseAddr("127.77.0.1")
 	n.Register("a", own)
 	r, err := n.Stand("b", anywhere, echo(t))
@@ -94,7 +94,7 @@
 	require.Equal(t, "one", ask(t, open, "one"))
 	require.Equal(t, "one", ask(t, d, "one"))
 	for _, way := range [][2]string{{"a", "b"}, {"b", "a"}} {
-		n.Set(way[0], way[1], rig.Link{Cut: true})
+		n.Set(way[0], way[1], faults.Link{Cut: true})
 		_, err := open.Write([]byte("two"))
 		require.NoError(t, err)
 		_, err = d.Write([]byte("two"))
@@ -123,7 +123,7 @@
 	n, stream, _, dial := two(t, 1)
 	c := stream()
 	require.Equal(t, "one", ask(t, c, "one"))
-	n.Both("a", "b", rig.Link{Reset: true})
+	n.Both("a", "b", faults.Link{Reset: true})
 	_, err := c.Read(make([]byte, 1))
 	require.ErrorContains(t, err, "reset")
 	begun, err := dial()
@@ -144,9 +144,9 @@
 // What befalls each datagram hangs on the seed and its place alone: two runs are alike, another seed is not.
 func TestDatagramsBySeed(t *testing.T) {
 	const sent = 400
-	run := func(seed uint64) (got string, c rig.Counters) {
+	run := func(seed uint64) (got string, c faults.Counters) {
 		n, _, datagrams, _ := two(t, seed)
-		n.Set("b", "a", rig.Link{Loss: 0.2, Twice: 0.1, Flip: 0.1, Truncate: 0.1})
+		n.Set("b", "a", faults.Link{Loss: 0.2, Twice: 0.1, Flip: 0.1, Truncate: 0.1})
 		d := datagrams()
 		var all []string
 		for i := range sent {
@@ -178,7 +178,7 @@
 // them is one bit.
 func TestOrder(t *testing.T) {
 	n, stream, datagrams, _ := two(t, 9)
-	n.Both("a", "b", rig.Link{Delay: time.Millisecond, Jitter: 20 * time.Millisecond, Late: 0.5})
+	n.Both("a", "b", faults.Link{Delay: time.Millisecond, Jitter: 20 * time.Millisecond, Late: 0.5})
 	d := datagrams()
 	var got, want []string
 	for i := range 100 {
@@ -206,7 +206,7 @@
 	}
 	require.True(t, bytes.Equal(text, through()))
 	n.Heal()
-	n.Set("a", "b", rig.Link{Flip: 1})
+	n.Set("a", "b", faults.Link{Flip: 1})
 	back, wrong := through(), 0
 	require.Len(t, back, len(text))
 	for i := range text {
@@ -221,22 +221,22 @@
 // Schedules come from their seed, can be carried out, and end whole; and a failing one is made as small as what makes it fail.
 func TestPlans(t *testing.T) {
 	names := []string{"a", "b", "c"}
-	require.Equal(t, rig.Plan(3, names, 30), rig.Plan(3, names, 30))
-	require.NotEqual(t, rig.Plan(3, names, 30), rig.Plan(4, names, 30))
+	require.Equal(t, faults.Plan(3, names, 30), faults.Plan(3, names, 30))
+	require.NotEqual(t, faults.Plan(3, names, 30), faults.Plan(4, names, 30))
 	found := 0
 	for seed := range uint64(300) {
-		plan := rig.Plan(seed, names, 40)
-		require.True(t, rig.Possible(plan), "seed %d: %v", seed, plan)
+		plan := faults.Plan(seed, names, 40)
+		require.True(t, faults.Possible(plan), "seed %d: %v", seed, plan)
 		// A fault that shows when b is killed while c is paused.
-		fails := func(plan []rig.Step) bool {
+		fails := func(plan []faults.Step) bool {
 			paused := false
 			for _, s := range plan {
 				switch {
-				case s.What == rig.Pause && s.One == "c":
+				case s.What == faults.Pause && s.One == "c":
 					paused = true
-				case s.What == rig.Resume && s.One == "c":
+				case s.What == faults.Resume && s.One == "c":
 					paused = false
-				case s.What == rig.Kill && s.One == "b" && paused:
+				case s.What == faults.Kill && s.One == "b" && paused:
 					return true
 				}
 			}
@@ -246,8 +246,8 @@
 			continue
 		}
 		found++
-		small := rig.Shrink(plan, 2000, fails)
-		require.True(t, fails(small) && rig.Possible(small), "seed %d", seed)
+		small := faults.Shrink(plan, 2000, fails)
+		require.True(t, fails(small) && faults.Possible(small), "seed %d", seed)
 		require.LessOrEqual(t, len(small), 5, "seed %d: %v", seed, small)
 	}
 	require.Greater(t, found, 20)
--- a/internal/rig/link.go
+++ b/internal/faults/link.go
@@ -1,7 +1,7 @@
-// Package rig stands between processes under test: relays on loopback that cut, delay, lose, double, reorder and garble what
+// Package faults stands between processes under test: relays on loopback that cut, delay, lose, double, reorder and garble what
 // they send each other, and schedules of such faults that come from a seed and can be made smaller. Faults come from here,
 // never from switches in the shipped program.
-package rig
+package faults
 
 import (
 	"fmt"
--- a/internal/rig/process_test.go
+++ b/internal/faults/process_test.go
@@ -1,4 +1,4 @@
-package rig_test
+package faults_test
 
 import (
 	"fmt"
@@ -11,8 +11,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"capercove/internal/faults"
 	"capercove/internal/pg"
-	"capercove/internal/rig"
 	"capercove/internal/testbed"
 )
 
@@ -27,7 +27,7 @@
 	}
 	for seed := first; seed < last; seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			n := rig.New(seed)
+			n := faults.New(seed)
 			n.Register("n0", netip.MustParseAddr("127.0.0.1"))
 			b := testbed.Start(t, func(b *testbed.Bed) {
 				for i, d := range b.Databases {
@@ -76,32 +76,32 @@
 					require.Zero(t, came, "%s: refused, but it came", key)
 				}
 			}
-			for _, s := range rig.Plan(seed, []string{"n0", "db-0", "db-1"}, 14) {
+			for _, s := range faults.Plan(seed, []string{"n0", "db-0", "db-1"}, 14) {
 				own := s.One == "n0"
 				switch {
-				case s.What == rig.Garble: // a value that was made otherwise looks like any other: not for this test
-				case s.What == rig.Kill && own:
+				case s.What == faults.Garble: // a value that was made otherwise looks like any other: not for this test
+				case s.What == faults.Kill && own:
 					n.Note("%s", s)
 					require.NoError(t, b.Process().Kill())
 					b.Wait()
 					down = true
-				case s.What == rig.Restart && own:
+				case s.What == faults.Restart && own:
 					n.Note("%s", s)
 					b.Run()
 					down = false
-				case s.What == rig.Pause && own:
+				case s.What == faults.Pause && own:
 					if !down {
 						ask("write", true)
 					}
-				case s.What == rig.Kill:
-					n.Both("n0", s.One, rig.Link{Reset: true})
-				case s.What == rig.Restart:
-					n.Both("n0", s.One, rig.Link{})
-				case s.What == rig.Pause || s.What == rig.Resume:
+				case s.What == faults.Kill:
+					n.Both("n0", s.One, faults.Link{Reset: true})
+				case s.What == faults.Restart:
+					n.Both("n0", s.One, faults.Link{})
+				case s.What == faults.Pause || s.What == faults.Resume:
 					for _, d := range b.Databases {
 						if d.ID == s.One {
 							n.Note("%s", s)
-							d.Freeze(s.What == rig.Pause)
+							d.Freeze(s.What == faults.Pause)
 						}
 					}
 				default:
--- a/internal/share/beside.go
+++ b/internal/fdshare/beside.go
@@ -1,4 +1,4 @@
-package share
+package fdshare
 
 import (
 	"encoding/json"
--- a/internal/share/share.go
+++ b/internal/fdshare/fdshare.go
@@ -1,6 +1,6 @@
-// Package share divides the descriptors that a machine grants among the processes of one pooler that stand beside each other,
+// Package fdshare divides the descriptors that a machine grants among the processes of one pooler that stand beside each other,
 // as at an upgrade. Part decides and is pure; Beside carries it out through files in a directory that all of them see.
-package share
+package fdshare
 
 // Claim is what one process says of itself.
 type Claim struct {
--- a/internal/share/share_test.go
+++ b/internal/fdshare/fdshare_test.go
@@ -1,4 +1,4 @@
-package share_test
+package fdshare_test
 
 import (
 	"math/rand/v2"
@@ -11,7 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"capercove/internal/share"
+	"capercove/internal/fdshare"
 )
 
 const grant = 384
@@ -20,26 +20,26 @@
 	elder, young := int64(1), int64(2)
 	for _, c := range []struct {
 		name   string
-		own    share.Claim
-		others []share.Claim
+		own    fdshare.Claim
+		others []fdshare.Claim
 		want   int
 	}{
-		{"alone: all but what one that is yet to come needs", share.Claim{Uses: 20}, nil, 336},
-		{"alone and crowded", share.Claim{Uses: 330, Takes: 336}, nil, 336},
-		{"a newcomer beside one that has not seen it", share.Claim{Born: young, Uses: 16},
-			[]share.Claim{{Born: elder, Uses: 90, Takes: 336}}, 48},
-		{"the elder keeps what it uses, and some room", share.Claim{Born: elder, Uses: 90, Takes: 336},
-			[]share.Claim{{Born: young, Uses: 16, Takes: 48}}, 138},
-		{"however much it uses", share.Claim{Born: elder, Uses: 330, Takes: 336}, []share.Claim{{Born: young, Uses: 48, Takes: 48}}, 336},
-		{"the newcomer takes what it has given back", share.Claim{Born: young, Uses: 20, Takes: 48},
-			[]share.Claim{{Born: elder, Uses: 90, Takes: 138}}, 246},
-		{"one that leaves", share.Claim{Born: elder, Uses: 40, Takes: 138, Leaving: true},
-			[]share.Claim{{Born: young, Uses: 60, Takes: 246}}, 64},
-		{"the newcomer beside one that leaves", share.Claim{Born: young, Uses: 60, Takes: 246},
-			[]share.Claim{{Born: elder, Uses: 40, Takes: 64, Leaving: true}}, 320},
-		{"nothing is left", share.Claim{Born: 3, Uses: 10}, []share.Claim{{Uses: 200, Takes: 200}, {Uses: 184, Takes: 184}}, 0},
+		{"alone: all but what one that is yet to come needs", fdshare.Claim{Uses: 20}, nil, 336},
+		{"alone and crowded", fdshare.Claim{Uses: 330, Takes: 336}, nil, 336},
+		{"a newcomer beside one that has not seen it", fdshare.Claim{Born: young, Uses: 16},
+			[]fdshare.Claim{{Born: elder, Uses: 90, Takes: 336}}, 48},
+		{"the elder keeps what it uses, and some room", fdshare.Claim{Born: elder, Uses: 90, Takes: 336},
+			[]fdshare.Claim{{Born: young, Uses: 16, Takes: 48}}, 138},
+		{"however much it uses", fdshare.Claim{Born: elder, Uses: 330, Takes: 336}, []fdshare.Claim{{Born: young, Uses: 48, Takes: 48}}, 336},
+		{"the newcomer takes what it has given back", fdshare.Claim{Born: young, Uses: 20, Takes: 48},
+			[]fdshare.Claim{{Born: elder, Uses: 90, Takes: 138}}, 246},
+		{"one that leaves", fdshare.Claim{Born: elder, Uses: 40, Takes: 138, Leaving: true},
+			[]fdshare.Claim{{Born: young, Uses: 60, Takes: 246}}, 64},
+		{"the newcomer beside one that leaves", fdshare.Claim{Born: young, Uses: 60, Takes: 246},
+			[]fdshare.Claim{{Born: elder, Uses: 40, Takes: 64, Leaving: true}}, 320},
+		{"nothing is left", fdshare.Claim{Born: 3, Uses: 10}, []fdshare.Claim{{Uses: 200, Takes: 200}, {Uses: 184, Takes: 184}}, 0},
 	} {
-		require.Equal(t, c.want, share.Part(grant, c.own, c.others), c.name)
+		require.Equal(t, c.want, fdshare.Part(grant, c.own, c.others), c.name)
 	}
 }
 
@@ -48,15 +48,15 @@
 func TestTogetherWithinTheGrant(t *testing.T) {
 	for seed := range uint64(300) {
 		random := rand.New(rand.NewPCG(seed, 1))
-		claims, stopped := map[int]share.Claim{}, map[int]bool{}
+		claims, stopped := map[int]fdshare.Claim{}, map[int]bool{}
 		step := func(i int) {
-			own, others := claims[i], []share.Claim{}
+			own, others := claims[i], []fdshare.Claim{}
 			for j, c := range claims {
 				if j != i {
 					others = append(others, c)
 				}
 			}
-			own.Takes = share.Part(grant, own, others)
+			own.Takes = fdshare.Part(grant, own, others)
 			claims[i] = own
 		}
 		for range 400 {
@@ -64,7 +64,7 @@
 			c, lives := claims[i]
 			switch what := random.IntN(10); {
 			case !lives && what < 3:
-				claims[i] = share.Claim{Born: random.Int64N(1000)}
+				claims[i] = fdshare.Claim{Born: random.Int64N(1000)}
 				stopped[i] = false
 			case lives && what == 0:
 				delete(claims, i) // killed
@@ -87,18 +87,18 @@
 			require.LessOrEqual(t, takes, grant, "seed %d", seed)
 		}
 		clear(claims)
-		claims[0] = share.Claim{}
+		claims[0] = fdshare.Claim{}
 		step(0)
 		require.Equal(t, 336, claims[0].Takes, "seed %d", seed)
 	}
 }
 
 // settle makes steps until one is made: another process may hold the lock.
-func settle(t *testing.T, b *share.Beside, leaving bool, uses int) {
+func settle(t *testing.T, b *fdshare.Beside, leaving bool, uses int) {
 	t.Helper()
 	require.Eventually(t, func() bool {
 		err := b.Settle(leaving, func() int { return uses }, func(int) {})
-		if err != share.ErrBusy {
+		if err != fdshare.ErrBusy {
 			require.NoError(t, err)
 		}
 		return err == nil
@@ -111,13 +111,13 @@
 	if dir == "" {
 		os.Exit(m.Run())
 	}
-	b, err := share.Join(dir, "n[0]*", grant)
+	b, err := fdshare.Join(dir, "n[0]*", grant)
 	for err == nil {
 		if err = b.Settle(false, func() int { return 100 }, func(int) {}); err == nil {
 			os.Stdout.WriteString("settled\n")
 			select {}
 		}
-		if err == share.ErrBusy {
+		if err == fdshare.ErrBusy {
 			err = nil
 		}
 	}
@@ -142,7 +142,7 @@
 		require.Equal(t, "settled\n", string(said))
 		return other
 	}
-	b, err := share.Join(dir, "n[0]*", grant)
+	b, err := fdshare.Join(dir, "n[0]*", grant)
 	require.NoError(t, err)
 	settle(t, b, false, 20)
 	require.Equal(t, 336, b.Takes())
@@ -167,6 +167,6 @@
 
 // A directory that is not there is an error, not a share.
 func TestNowhere(t *testing.T) {
-	_, err := share.Join(filepath.Join(t.TempDir(), "none"), "n0", grant)
+	_, err := fdshare.Join(filepath.Join(t.TempDir(), "none"), "n0", grant)
 	require.ErrorContains(t, err, "none")
 }
--- a/internal/fleet/gossip/gossip_test.go
+++ b/internal/fleet/gossip/gossip_test.go
@@ -12,9 +12,9 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"capercove/internal/faults"
 	"capercove/internal/fleet"
 	"capercove/internal/fleet/gossip"
-	"capercove/internal/rig"
 )
 
 const patience = 60 * time.Second
@@ -32,7 +32,7 @@
 // members are some with a relay before each.
 type members struct {
 	t      *testing.T
-	net    *rig.Net
+	net    *faults.Net
 	names  []string
 	public map[string]string
 	own    map[string]string
@@ -58,7 +58,7 @@
 }
 
 func newMembers(t *testing.T, seed uint64, n int) *members {
-	m := &members{t: t, net: rig.New(seed), public: map[string]string{}, own: map[string]string{}, log: &lines{}, up: map[string]*gossip.Gossip{}}
+	m := &members{t: t, net: faults.New(seed), public: map[string]string{}, own: map[string]string{}, log: &lines{}, up: map[string]*gossip.Gossip{}}
 	for i := range n {
 		name := fmt.Sprint("n", i)
 		own := netip.AddrFrom4([4]byte{127, 78, byte(seed), byte(i + 1)})
@@ -118,9 +118,9 @@
 	m.start("n0", "c")
 	m.settled(m.names...)
 	for _, name := range []string{"n1", "n2"} {
-		m.net.Both(name, "n0", rig.Link{Cut: true})
-		m.net.Both(name, "n3", rig.Link{Cut: true})
-		m.net.Both(name, "n4", rig.Link{Cut: true})
+		m.net.Both(name, "n0", faults.Link{Cut: true})
+		m.net.Both(name, "n3", faults.Link{Cut: true})
+		m.net.Both(name, "n4", faults.Link{Cut: true})
 		m.up[name].Stop(time.Millisecond)
 	}
 	m.settled("n0", "n3", "n4")
@@ -170,8 +170,8 @@
 	m.settled(right[0])
 	m.net.Heal()
 	m.settled(m.names...)
-	m.net.Set("n1", "n4", rig.Link{Cut: true})
-	m.net.Set("n3", "n0", rig.Link{Cut: true})
+	m.net.Set("n1", "n4", faults.Link{Cut: true})
+	m.net.Set("n3", "n0", faults.Link{Cut: true})
 	m.settled(m.names...)
 	m.net.Heal()
 	m.settled(m.names...)
@@ -183,7 +183,7 @@
 	for _, a := range m.names {
 		for _, b := range m.names {
 			if a != b {
-				m.net.Set(a, b, rig.Link{Loss: 0.1, Twice: 0.1, Late: 0.1, Jitter: 5 * time.Millisecond, Flip: 0.02})
+				m.net.Set(a, b, faults.Link{Loss: 0.1, Twice: 0.1, Late: 0.1, Jitter: 5 * time.Millisecond, Flip: 0.02})
 			}
 		}
 	}
--- a/internal/fleet/gossip/measure_test.go
+++ b/internal/fleet/gossip/measure_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"capercove/internal/rig"
+	"capercove/internal/faults"
 	"capercove/internal/testbed"
 )
 
@@ -73,7 +73,7 @@
 	for _, a := range all {
 		for _, b := range all {
 			if a != b {
-				f.Net.Set(a, b, rig.Link{Loss: 0.1})
+				f.Net.Set(a, b, faults.Link{Loss: 0.1})
 			}
 		}
 	}
--- a/internal/fleet/gossip/process_test.go
+++ b/internal/fleet/gossip/process_test.go
@@ -16,8 +16,8 @@
 	"github.com/hashicorp/memberlist"
 	"github.com/stretchr/testify/require"
 
+	"capercove/internal/faults"
 	"capercove/internal/pg"
-	"capercove/internal/rig"
 	"capercove/internal/testbed"
 )
 
@@ -162,7 +162,7 @@
 	f.Settled("one again", f.Names...)
 
 	refuted := f.State("n4").Refuted
-	f.Net.Set("n1", "n4", rig.Link{Cut: true})
+	f.Net.Set("n1", "n4", faults.Link{Cut: true})
 	f.Periods(100, f.Names...)
 	f.Settled("cut one way", f.Names...)
 	require.Equal(t, refuted, f.State("n4").Refuted, "others reach it")
@@ -237,7 +237,7 @@
 	for _, a := range f.Names {
 		for _, b := range f.Names {
 			if a != b {
-				f.Net.Set(a, b, rig.Link{Loss: 0.1, Twice: 0.05, Late: 0.05, Jitter: 5 * time.Millisecond})
+				f.Net.Set(a, b, faults.Link{Loss: 0.1, Twice: 0.05, Late: 0.05, Jitter: 5 * time.Millisecond})
 			}
 		}
 	}
@@ -352,7 +352,7 @@
 				}
 			}
 			random := rand.New(rand.NewPCG(seed, 0x9a9))
-			for _, s := range rig.Plan(seed, f.Names, steps) {
+			for _, s := range faults.Plan(seed, f.Names, steps) {
 				f.Do(s)
 				if running := f.Running(); random.IntN(2) == 0 { // or the next one comes at once
 					f.Periods(random.IntN(40), running...)
--- a/internal/lab/bad_test.go
+++ b/internal/lab/bad_test.go
@@ -15,7 +15,7 @@
 	"capercove/internal/emulator"
 	"capercove/internal/load"
 	"capercove/internal/pg"
-	"capercove/internal/world"
+	"capercove/internal/scenario"
 )
 
 // badVariable makes this test's program a pooler that breaks a rule, named by its value.
@@ -131,15 +131,15 @@
 	require.NoError(t, err)
 	for how, rule := range map[string]emulator.Rule{"none": "", "double": emulator.TwiceRun, "twice": emulator.TwoAnswers, "invent": emulator.WrongAnswer,
 		"refuse": emulator.RefusedRan, "lose": emulator.NoAnswer, "stale": emulator.Stale, "drained": emulator.Drained} {
-		w := scenario(t, "calm", 3)
+		w := loadScenario(t, "calm", 3)
 		w.Families[0].Members, w.Server.FallOver = 2, 1000
-		w.Loads = []world.Load{{Class: "profile-read", Rate: 20}, {Class: "member-write", Rate: 5}}
+		w.Loads = []scenario.Load{{Class: "profile-read", Rate: 20}, {Class: "member-write", Rate: 5}}
 		if how == "stale" { // the replica applies nothing for long
-			w.Faults = []world.Fault{{At: 0, Kind: "lag", Target: "g1-1", Factor: 1e6}}
+			w.Faults = []scenario.Fault{{At: 0, Kind: "lag", Target: "g1-1", Factor: 1e6}}
 		}
 		if how == "drained" {
-			w.Faults = []world.Fault{{At: 0, Kind: "drain", Target: "g1-1"}}
-			w.List.LateMS, w.Seconds = world.Range{0, 0}, 9.5
+			w.Faults = []scenario.Fault{{At: 0, Kind: "drain", Target: "g1-1"}}
+			w.List.LateMS, w.Seconds = scenario.Range{0, 0}, 9.5
 		}
 		path := filepath.Join(t.TempDir(), "bad")
 		writeFile(t, path, "#!/bin/sh\n"+badVariable+"="+how+" exec "+self+"\n")
@@ -162,7 +162,7 @@
 func TestVoid(t *testing.T) {
 	self, err := os.Executable()
 	require.NoError(t, err)
-	w := scenario(t, "calm", 2)
+	w := loadScenario(t, "calm", 2)
 	path := filepath.Join(t.TempDir(), "good")
 	writeFile(t, path, "#!/bin/sh\n"+badVariable+"=none exec "+self+"\n")
 	r, err := Real(context.Background(), w, Options{Binary: path, Dir: t.TempDir(), Host: "127.0.0.1",
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"capercove/internal/world"
+	"capercove/internal/scenario"
 )
 
 var pooler = sync.OnceValues(func() (string, error) {
@@ -36,15 +36,15 @@
 	m.Run()
 }
 
-func scenario(t *testing.T, name string, seconds float64) *world.World {
-	w, err := world.LoadFile(filepath.Join("..", "..", "scenarios", name+".toml"))
+func loadScenario(t *testing.T, name string, seconds float64) *scenario.Scenario {
+	w, err := scenario.LoadFile(filepath.Join("..", "..", "scenarios", name+".toml"))
 	require.NoError(t, err)
 	w.Seconds, w.Warm = seconds, 0
-	w.Expect = world.Expect{} // times are the machine's: only the rules are held against it
+	w.Expect = scenario.Expect{} // times are the machine's: only the rules are held against it
 	return w
 }
 
-func play(t *testing.T, w *world.World) *Run {
+func play(t *testing.T, w *scenario.Scenario) *Run {
 	binary, err := pooler()
 	require.NoError(t, err)
 	r, err := Real(context.Background(), w, Options{Binary: binary, Dir: t.TempDir(), Host: "127.0.0.1"})
@@ -55,7 +55,7 @@
 // Short scenarios with real poolers keep the rules: each request one answer, no write twice, whoever dies.
 func TestRealRuns(t *testing.T) {
 	for _, name := range []string{"calm", "primary-killed", "mislabelled", "poolers-apart"} {
-		w := scenario(t, name, 6)
+		w := loadScenario(t, name, 6)
 		for i := range w.Faults {
 			w.Faults[i].At, w.Faults[i].For = 2, 2
 		}
@@ -82,7 +82,7 @@
 
 // A pooler that ends in the middle of a run is told, and what it had taken counts as lost.
 func TestPoolerDies(t *testing.T) {
-	w := scenario(t, "calm", 5)
+	w := loadScenario(t, "calm", 5)
 	binary, err := pooler()
 	require.NoError(t, err)
 	r, err := Real(context.Background(), w, Options{Binary: killer(t, binary), Dir: t.TempDir(), Host: "127.0.0.1"})
@@ -100,7 +100,7 @@
 
 // A pooler that does not start, and a scenario that needs more descriptors than there are, are errors that say so.
 func TestCannotRun(t *testing.T) {
-	w := scenario(t, "calm", 1)
+	w := loadScenario(t, "calm", 1)
 	path := filepath.Join(t.TempDir(), "broken")
 	writeFile(t, path, "#!/bin/sh\necho no luck >&2\nexit 1\n")
 	_, err := Real(context.Background(), w, Options{Binary: path, Dir: t.TempDir(), Host: "127.0.0.1"})
@@ -116,7 +116,7 @@
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	_, err = Real(ctx, scenario(t, "calm", 60), Options{Binary: binary, Dir: t.TempDir(), Host: "127.0.0.1"})
+	_, err = Real(ctx, loadScenario(t, "calm", 60), Options{Binary: binary, Dir: t.TempDir(), Host: "127.0.0.1"})
 	require.Error(t, err)
 }
 
--- a/internal/lab/real.go
+++ b/internal/lab/real.go
@@ -20,13 +20,13 @@
 	"capercove/internal/emulator"
 	"capercove/internal/load"
 	"capercove/internal/model"
+	"capercove/internal/scenario"
 	"capercove/internal/standin"
-	"capercove/internal/world"
 )
 
 // Run is what came of one play of a scenario.
 type Run struct {
-	World    *world.World
+	World    *scenario.Scenario
 	Kind     string // real or model
 	Result   load.Result
 	Ledger   *emulator.Ledger
@@ -55,7 +55,7 @@
 )
 
 // Model plays a scenario in virtual time.
-func Model(w *world.World) (*Run, error) {
+func Model(w *scenario.Scenario) (*Run, error) {
 	begun := time.Now()
 	d, f, err := model.Run(w)
 	if err != nil {
@@ -66,7 +66,7 @@
 }
 
 // Real plays a scenario with real poolers.
-func Real(ctx context.Context, w *world.World, o Options) (r *Run, err error) {
+func Real(ctx context.Context, w *scenario.Scenario, o Options) (r *Run, err error) {
 	begun := time.Now()
 	if err := os.MkdirAll(o.Dir, 0o755); err != nil {
 		return nil, err
@@ -109,7 +109,7 @@
 	var d *load.Driver
 	fleet.Clock.Wait(func() {
 		target.Unasked = func(request string) { fleet.Ledger.Unasked(fleet.Clock.Now(), request) }
-		fleet.Pooler = func(x world.Fault) {
+		fleet.Pooler = func(x scenario.Fault) {
 			if !talk.faulty(fleet, x) {
 				faulty(fleet, poolers, x)
 			}
@@ -122,7 +122,7 @@
 	if every == 0 {
 		every = time.Second
 	}
-	end := time.Now().Add(world.Seconds(w.Seconds))
+	end := time.Now().Add(scenario.Seconds(w.Seconds))
 	wait := time.NewTicker(every)
 	defer wait.Stop()
 	open := 1
@@ -170,7 +170,7 @@
 }
 
 // descriptors checks that the process may hold what the scenario can need.
-func descriptors(w *world.World) error {
+func descriptors(w *scenario.Scenario) error {
 	var l syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &l); err != nil {
 		return err
@@ -194,7 +194,7 @@
 }
 
 // faulty does to a pooler what a scenario says.
-func faulty(fleet *standin.Fleet, poolers []*process, x world.Fault) {
+func faulty(fleet *standin.Fleet, poolers []*process, x scenario.Fault) {
 	var i int
 	fmt.Sscanf(x.Target, "pooler-%d", &i)
 	p := poolers[i]
@@ -204,15 +204,15 @@
 		fleet.Ledger.Excused = true
 		p.expect(true)
 		p.signal(syscall.SIGKILL)
-		fleet.Clock.At(fleet.Clock.Now()+world.Seconds(x.For), back)
+		fleet.Clock.At(fleet.Clock.Now()+scenario.Seconds(x.For), back)
 	case "restart":
 		fleet.Ledger.Excused = true
 		p.expect(true)
 		p.signal(syscall.SIGTERM)
-		fleet.Clock.At(fleet.Clock.Now()+max(4*time.Second, world.Seconds(x.For)), back)
+		fleet.Clock.At(fleet.Clock.Now()+max(4*time.Second, scenario.Seconds(x.For)), back)
 	case "stop":
 		p.signal(syscall.SIGSTOP)
-		fleet.Clock.At(fleet.Clock.Now()+world.Seconds(x.For), func() { p.signal(syscall.SIGCONT) })
+		fleet.Clock.At(fleet.Clock.Now()+scenario.Seconds(x.For), func() { p.signal(syscall.SIGCONT) })
 	}
 }
 
--- a/internal/lab/talk.go
+++ b/internal/lab/talk.go
@@ -6,23 +6,23 @@
 	"os"
 	"strings"
 
-	"capercove/internal/rig"
+	"capercove/internal/faults"
+	"capercove/internal/scenario"
 	"capercove/internal/standin"
-	"capercove/internal/world"
 )
 
 // talk is the links between the poolers of a real run, where they talk: a relay before each.
 type talk struct {
-	world  *world.World
-	net    *rig.Net
-	own    []string
-	public []string
-	relays []*rig.Relay
+	scenario *scenario.Scenario
+	net      *faults.Net
+	own      []string
+	public   []string
+	relays   []*faults.Relay
 }
 
 // newTalk stands between the poolers; each has two loopback addresses of its own.
-func newTalk(w *world.World) (*talk, error) {
-	t := &talk{world: w, net: rig.New(w.Seed)}
+func newTalk(w *scenario.Scenario) (*talk, error) {
+	t := &talk{scenario: w, net: faults.New(w.Seed)}
 	if !w.Fleet.Enabled {
 		return t, nil
 	}
@@ -30,7 +30,7 @@
 	for i := range w.Poolers {
 		last := byte(1 + i)
 		own := netip.AddrFrom4([4]byte{127, byte(100 + pid/250%15), byte(pid % 250), last})
-		listen, r, err := t.net.Place(world.PoolerName(i), own, netip.AddrFrom4([4]byte{127, byte(115 + pid/250%15), byte(pid % 250), last}))
+		listen, r, err := t.net.Place(scenario.PoolerName(i), own, netip.AddrFrom4([4]byte{127, byte(115 + pid/250%15), byte(pid % 250), last}))
 		if err != nil {
 			t.close()
 			return nil, err
@@ -48,7 +48,7 @@
 
 // table is [fleet] of a pooler's file, empty where the poolers do not talk. The first two are the others' seeds.
 func (t *talk) table(i int) string {
-	f := t.world.Fleet
+	f := t.scenario.Fleet
 	if !f.Enabled {
 		return ""
 	}
@@ -63,8 +63,8 @@
 }
 
 // faulty does to links what a scenario says; it returns false for a fault of something else.
-func (t *talk) faulty(fleet *standin.Fleet, x world.Fault) bool {
-	var l rig.Link
+func (t *talk) faulty(fleet *standin.Fleet, x scenario.Fault) bool {
+	var l faults.Link
 	switch x.Kind {
 	case "part":
 		l.Cut = true
@@ -73,12 +73,12 @@
 	default:
 		return false
 	}
-	set := func(l rig.Link) {
-		for _, link := range t.world.Links(x.Target) {
+	set := func(l faults.Link) {
+		for _, link := range t.scenario.Links(x.Target) {
 			t.net.Set(link[0], link[1], l)
 		}
 	}
 	set(l)
-	fleet.Clock.At(fleet.Clock.Now()+world.Seconds(x.For), func() { set(rig.Link{}) })
+	fleet.Clock.At(fleet.Clock.Now()+scenario.Seconds(x.For), func() { set(faults.Link{}) })
 	return true
 }
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -12,15 +12,15 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"capercove/internal/emulator"
+	"capercove/internal/scenario"
 	"capercove/internal/sim"
-	"capercove/internal/world"
 )
 
 // Request is what a client asks.
 type Request struct {
 	ID       string
-	Class    *world.Class
-	Load     *world.Load
+	Class    *scenario.Class
+	Load     *scenario.Load
 	SQL      string
 	Key      string // of the client
 	Write    bool   // it writes, whatever its label says
@@ -48,7 +48,7 @@
 type Driver struct {
 	Result Result
 
-	world  *world.World
+	world  *scenario.Scenario
 	loop   sim.Loop
 	ledger *emulator.Ledger
 	target Target
@@ -81,7 +81,7 @@
 }
 
 // NewDriver returns a driver that has sent nothing.
-func NewDriver(w *world.World, loop sim.Loop, ledger *emulator.Ledger, target Target) *Driver {
+func NewDriver(w *scenario.Scenario, loop sim.Loop, ledger *emulator.Ledger, target Target) *Driver {
 	d := &Driver{world: w, loop: loop, ledger: ledger, target: target, rng: rand.New(rand.NewPCG(w.Seed, 0x6c6f6164)),
 		Result: Result{Classes: map[string]*Share{}, Tenants: map[string]*Share{}}}
 	for _, c := range w.Classes {
@@ -116,12 +116,12 @@
 }
 
 // next schedules the request behind a time.
-func (d *Driver) next(l *world.Load, number int, rng *rand.Rand, at, to float64, n int) {
+func (d *Driver) next(l *scenario.Load, number int, rng *rand.Rand, at, to float64, n int) {
 	at += rng.ExpFloat64() / l.Rate
 	if at >= to {
 		return
 	}
-	due := d.start + world.Seconds(at)
+	due := d.start + scenario.Seconds(at)
 	key := n
 	if l.Members > 0 {
 		key = rng.IntN(l.Members)
@@ -141,8 +141,8 @@
 
 // try is one client's request with its retries.
 type try struct {
-	load        *world.Load
-	class       *world.Class
+	load        *scenario.Load
+	class       *scenario.Class
 	key         string
 	due         time.Duration
 	mislabelled bool
@@ -157,7 +157,7 @@
 	d.last++
 	d.open++
 	q := &Request{ID: fmt.Sprintf("%08x", d.last), Class: c.class, Load: c.load, Key: c.key, Pooler: c.pooler}
-	q.Deadline = d.loop.Now() + time.Duration(c.patience*float64(world.Millis(c.class.DeadlineMS)))
+	q.Deadline = d.loop.Now() + time.Duration(c.patience*float64(scenario.Millis(c.class.DeadlineMS)))
 	q.Write = c.class.Kind == "write" || c.mislabelled
 	label := fmt.Sprintf("/* id=%s,c=%s,d=%d,cluster=%d,tenant=%s */", q.ID, c.class.Name, (q.Deadline - d.loop.Now()).Milliseconds(),
 		d.group(c), c.load.Tenant)
@@ -223,7 +223,7 @@
 func (d *Driver) answered(c *try, q *Request, r Reply) {
 	d.open--
 	if r.How == emulator.Refused && c.left > 0 {
-		wait := world.Millis(c.load.RetryMS)
+		wait := scenario.Millis(c.load.RetryMS)
 		if c.load.Heed && r.After > 0 {
 			wait = r.After
 		}
@@ -238,7 +238,7 @@
 	}
 	took := r.At - c.due
 	s := d.second(c.due)
-	inTime := r.How == emulator.Served && took <= world.Millis(c.class.AimMS)
+	inTime := r.How == emulator.Served && took <= scenario.Millis(c.class.AimMS)
 	switch {
 	case r.How == emulator.Served:
 		s.Served[c.class.Name]++
@@ -304,7 +304,7 @@
 }
 
 // Verdict holds a result and a ledger against what a world expects. It returns what is not met, sorted.
-func (r *Result) Verdict(w *world.World, l *emulator.Ledger) (missed []string) {
+func (r *Result) Verdict(w *scenario.Scenario, l *emulator.Ledger) (missed []string) {
 	for _, b := range l.Breaches {
 		missed = append(missed, "rule broken: "+b.String())
 	}
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -23,11 +23,11 @@
 	"capercove/internal/limits"
 	"capercove/internal/load"
 	"capercove/internal/pg"
+	"capercove/internal/scenario"
 	"capercove/internal/sim"
 	"capercove/internal/statement"
 	"capercove/internal/tenant"
 	"capercove/internal/wire"
-	"capercove/internal/world"
 )
 
 // Fleet is poolers before an emulated fleet.
@@ -55,10 +55,10 @@
 }
 
 // New returns a fleet with its poolers, which have started.
-func New(w *world.World, loop *sim.Virtual) (*Fleet, error) {
+func New(w *scenario.Scenario, loop *sim.Virtual) (*Fleet, error) {
 	f := &Fleet{Fleet: emulator.New(w, loop), loop: loop, rng: rand.New(rand.NewPCG(w.Seed, 0x6d6f64656c))}
 	f.Changed = f.changed
-	f.Listing = func(x world.Fault) {
+	f.Listing = func(x scenario.Fault) {
 		for _, p := range f.Poolers {
 			p.down = true
 			if p.watch {
@@ -66,7 +66,7 @@
 				p.Core.ListFailed()
 			}
 		}
-		loop.At(loop.Now()+world.Seconds(x.For), func() {
+		loop.At(loop.Now()+scenario.Seconds(x.For), func() {
 			for _, p := range f.Poolers {
 				p.down = false
 			}
@@ -86,7 +86,7 @@
 	}
 	zones := w.Zones()
 	for i := range w.Poolers {
-		p := &Pooler{fleet: f, name: world.PoolerName(i), zone: zones[i%len(zones)], up: true,
+		p := &Pooler{fleet: f, name: scenario.PoolerName(i), zone: zones[i%len(zones)], up: true,
 			asked: map[*load.Request]*answer{}, told: map[string]emulator.State{}}
 		l := limits.For(limits.Machine{MemoryMB: 192, Sockets: 1024}, facts.Connect, facts.Keepalive, 3*time.Second)
 		p.Core = core.New(core.Settings{Settings: settings, Names: facts.Classes}, w.Seed*7919+uint64(i), l, zerolog.Nop(), loop.Now,
@@ -122,7 +122,7 @@
 // network is how long a message takes, one way.
 func (p *Pooler) network() time.Duration {
 	r := p.fleet.World.Server.NetworkMS
-	return world.Millis(r[0] + (r[1]-r[0])*p.fleet.rng.Float64())
+	return scenario.Millis(r[0] + (r[1]-r[0])*p.fleet.rng.Float64())
 }
 
 // ---- The list
@@ -163,7 +163,7 @@
 	s := m.State
 	late := f.World.List.LateMS
 	for _, p := range f.Poolers {
-		at := f.loop.Now() + world.Millis(late[0]+(late[1]-late[0])*f.rng.Float64())
+		at := f.loop.Now() + scenario.Millis(late[0]+(late[1]-late[0])*f.rng.Float64())
 		f.loop.At(at, func() { p.tell(m, s) })
 	}
 }
@@ -340,8 +340,8 @@
 	}
 }
 
-// Run plays a world in virtual time.
-func Run(w *world.World) (*load.Driver, *Fleet, error) {
+// Run plays a scenario in virtual time.
+func Run(w *scenario.Scenario) (*load.Driver, *Fleet, error) {
 	loop := sim.NewVirtual(1_700_000_000 * time.Second)
 	f, err := New(w, loop)
 	if err != nil {
@@ -351,7 +351,7 @@
 	d := load.NewDriver(w, loop, f.Ledger, f)
 	f.Begin()
 	d.Start()
-	end := loop.Now() + world.Seconds(w.Seconds)
+	end := loop.Now() + scenario.Seconds(w.Seconds)
 	loop.Run(end)
 	for d.Open() > 0 && loop.Now() < end+time.Minute {
 		loop.Run(loop.Now() + 100*time.Millisecond)
--- a/internal/model/model_test.go
+++ b/internal/model/model_test.go
@@ -9,17 +9,17 @@
 
 	"github.com/stretchr/testify/require"
 
-	"capercove/internal/world"
+	"capercove/internal/scenario"
 )
 
-func scenario(t *testing.T, name string) *world.World {
-	w, err := world.LoadFile(filepath.Join("..", "..", "scenarios", name+".toml"))
+func loadScenario(t *testing.T, name string) *scenario.Scenario {
+	w, err := scenario.LoadFile(filepath.Join("..", "..", "scenarios", name+".toml"))
 	require.NoError(t, err)
 	return w
 }
 
 // print is all that a run has come to, as text.
-func print(t *testing.T, w *world.World) string {
+func print(t *testing.T, w *scenario.Scenario) string {
 	d, f, err := Run(w)
 	require.NoError(t, err)
 	s := fmt.Sprint(d.Result.Worth, f.Ledger.Ran, f.Ledger.Writes, f.Ledger.Broken, f.Ledger.Breaches, f.Events)
@@ -33,7 +33,7 @@
 // The same seed gives the same day to the bit, on one core and on many, alone and beside others.
 func TestSameDay(t *testing.T) {
 	for _, name := range []string{"primary-killed", "loud-tenant", "mislabelled"} {
-		w := scenario(t, name)
+		w := loadScenario(t, name)
 		first := print(t, w)
 		procs := runtime.GOMAXPROCS(1)
 		require.Equal(t, first, print(t, w), name)
@@ -41,13 +41,13 @@
 		var wait sync.WaitGroup
 		for range 4 {
 			wait.Go(func() {
-				if again := print(t, scenario(t, name)); again != first {
+				if again := print(t, loadScenario(t, name)); again != first {
 					t.Errorf("%s: another day", name)
 				}
 			})
 		}
 		wait.Wait()
-		other := scenario(t, name)
+		other := loadScenario(t, name)
 		other.Seed = 2
 		require.NotEqual(t, first, print(t, other))
 	}
@@ -59,7 +59,7 @@
 	require.NoError(t, err)
 	require.NotEmpty(t, files)
 	for _, path := range files {
-		w, err := world.LoadFile(path)
+		w, err := scenario.LoadFile(path)
 		require.NoError(t, err)
 		d, f, err := Run(w)
 		require.NoError(t, err)
@@ -71,7 +71,7 @@
 // The door keeps a quiet tenant's share beside a loud one, where without it both lose alike.
 func TestDoorHelps(t *testing.T) {
 	share := func(on bool) float64 {
-		w := scenario(t, "loud-tenant")
+		w := loadScenario(t, "loud-tenant")
 		w.Door = on
 		d, _, err := Run(w)
 		require.NoError(t, err)
--- a/internal/hold/hold.go
+++ b/internal/pending/pending.go
@@ -1,7 +1,7 @@
-// Package hold bounds how many requests wait at a pooler without having been sent anywhere. Each keeps its caller's
+// Package pending bounds how many requests wait at a pooler without having been sent anywhere. Each keeps its caller's
 // connection, of which callers have only so many: while a group has no primary, the writes that wait for one would
 // leave none for requests that can be served. It is pure: no clock, no I/O.
-package hold
+package pending
 
 import "slices"
 
--- a/internal/hold/hold_test.go
+++ b/internal/pending/pending_test.go
@@ -1,15 +1,15 @@
-package hold_test
+package pending_test
 
 import (
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
-	"capercove/internal/hold"
+	"capercove/internal/pending"
 )
 
 func TestOldestGoesFirst(t *testing.T) {
-	var q hold.Queue[int]
+	var q pending.Queue[int]
 	for i := range 10 {
 		q.Enter(i)
 	}
@@ -35,7 +35,7 @@
 
 // What has left does not pile up behind one that stays.
 func TestBounded(t *testing.T) {
-	var q hold.Queue[int]
+	var q pending.Queue[int]
 	q.Enter(-1)
 	for i := range 100000 {
 		q.Enter(i)
--- a/internal/world/world.go
+++ b/internal/scenario/scenario.go
@@ -1,6 +1,6 @@
-// Package world describes an experiment: the databases, the classes, who asks for what, and what goes wrong when. One
+// Package scenario describes an experiment: the databases, the classes, who asks for what, and what goes wrong when. One
 // description serves the fleet on sockets and the model in virtual time.
-package world
+package scenario
 
 import (
 	"bytes"
@@ -17,8 +17,8 @@
 	"capercove/internal/fleet"
 )
 
-// World is a scenario file. Times are in seconds unless the key says milliseconds.
-type World struct {
+// Scenario is a scenario file. Times are in seconds unless the key says milliseconds.
+type Scenario struct {
 	Base    string  `toml:"base"` // a file beside this one, whose values stand where this one has none
 	Name    string  `toml:"name"`
 	For     string  `toml:"for"`   // what it is for
@@ -137,15 +137,15 @@
 }
 
 // Defaults are the values of what a file lacks.
-func Defaults() World {
-	return World{Seed: 1, Seconds: 20, Warm: 2, Poolers: 1, Statements: "off", Server: Server{Cores: 3, Queue: 200, Thrash: 0.5, Connections: 200,
+func Defaults() Scenario {
+	return Scenario{Seed: 1, Seconds: 20, Warm: 2, Poolers: 1, Statements: "off", Server: Server{Cores: 3, Queue: 200, Thrash: 0.5, Connections: 200,
 		HandshakeMS: 1, IdleMS: 15000, ProbeMS: 0.3, ReportMS: 150, ShipMS: Range{3, 15}, ApplyMS: 2, ColdShare: 0.16, ColdTime: 18,
 		FallOver: 2.5, FallTime: 2, GiveUp: Range{1, 3}, TakeOver: Range{1, 3.5}, HandOver: Range{0.47, 0.94}, NetworkMS: Range{0.2, 0.4}},
 		List: List{LateMS: Range{200, 1500}}}
 }
 
 // LoadFile reads a scenario and checks it. Errors name the file, the line and the key.
-func LoadFile(path string) (*World, error) {
+func LoadFile(path string) (*Scenario, error) {
 	w := Defaults()
 	text, err := w.load(path, true)
 	if err != nil {
@@ -164,7 +164,7 @@
 }
 
 // load reads a file over the values that there are. A list that it names takes the place of the one before it.
-func (w *World) load(path string, mayBase bool) ([]byte, error) {
+func (w *Scenario) load(path string, mayBase bool) ([]byte, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, err
@@ -207,7 +207,7 @@
 }
 
 // Check tells what is wrong.
-func (w *World) Check() error {
+func (w *Scenario) Check() error {
 	for _, v := range []struct {
 		key   string
 		value float64
@@ -314,7 +314,7 @@
 func DatabaseName(group, member int) string { return fmt.Sprintf("g%d-%d", group, member) }
 
 // databases is how many databases a target names.
-func (w *World) databases(target string) int {
+func (w *Scenario) databases(target string) int {
 	for _, f := range w.Families {
 		if target == fmt.Sprintf("primary-%d", f.Group) {
 			return 1
@@ -328,7 +328,7 @@
 	return 0
 }
 
-func (w *World) pooler(target string) bool {
+func (w *Scenario) pooler(target string) bool {
 	for i := range w.Poolers {
 		if target == PoolerName(i) {
 			return true
@@ -342,7 +342,7 @@
 
 // Links are the links between poolers that a target names, each one way: between one and all others, between two, or with ">" from
 // the one to the other alone. Nil: it names none.
-func (w *World) Links(target string) (links [][2]string) {
+func (w *Scenario) Links(target string) (links [][2]string) {
 	one, other, way := strings.Cut(target, ">")
 	if !way {
 		one, other, _ = strings.Cut(target, " ")
@@ -364,7 +364,7 @@
 }
 
 // Class returns a class by its name.
-func (w *World) Class(name string) *Class {
+func (w *Scenario) Class(name string) *Class {
 	for i := range w.Classes {
 		if w.Classes[i].Name == name {
 			return &w.Classes[i]
@@ -374,7 +374,7 @@
 }
 
 // Zones are all zones, in the order in which they are named.
-func (w *World) Zones() (zones []string) {
+func (w *Scenario) Zones() (zones []string) {
 	seen := map[string]bool{}
 	for _, f := range w.Families {
 		for i := range f.Members {
--- a/internal/world/world_test.go
+++ b/internal/scenario/scenario_test.go
@@ -1,4 +1,4 @@
-package world_test
+package scenario_test
 
 import (
 	"os"
@@ -7,13 +7,13 @@
 
 	"github.com/stretchr/testify/require"
 
-	"capercove/internal/world"
+	"capercove/internal/scenario"
 )
 
 // Faults between poolers name one, two, or one way; they are turned down, with file, line and key, where the poolers do not talk or
 // the target is none.
 func TestLinks(t *testing.T) {
-	w := world.World{Poolers: 3}
+	w := scenario.Scenario{Poolers: 3}
 	require.Equal(t, [][2]string{{"pooler-0", "pooler-2"}, {"pooler-2", "pooler-0"}}, w.Links("pooler-0 pooler-2"))
 	require.Equal(t, [][2]string{{"pooler-0", "pooler-2"}}, w.Links("pooler-0 > pooler-2"))
 	require.Equal(t, [][2]string{{"pooler-1", "pooler-0"}, {"pooler-0", "pooler-1"}, {"pooler-1", "pooler-2"}, {"pooler-2", "pooler-1"}},
@@ -24,7 +24,7 @@
 	path := filepath.Join(t.TempDir(), "odd.toml")
 	load := func(text string) error {
 		require.NoError(t, os.WriteFile(path, []byte("poolers = 2\n"+text+"\n[[families]]\ngroup = 1\nmembers = 2\n"), 0o600))
-		_, err := world.LoadFile(path)
+		_, err := scenario.LoadFile(path)
 		return err
 	}
 	const talk = "[fleet]\nenabled = true\n"
--- a/internal/world/settings.go
+++ b/internal/scenario/settings.go
@@ -1,9 +1,9 @@
-package world
+package scenario
 
 import "encoding/json"
 
-// Settings are the poolers' settings for this world, as the platform words them.
-func (w *World) Settings() []byte {
+// Settings are the poolers' settings for this scenario, as the platform words them.
+func (w *Scenario) Settings() []byte {
 	var lanes []map[string]any
 	var reads []string
 	var ages []float64
@@ -33,8 +33,8 @@
 	return text
 }
 
-// Operator is the poolers' own file for this world.
-func (w *World) Operator() string {
+// Operator is the poolers' own file for this scenario.
+func (w *Scenario) Operator() string {
 	text := "[statements]\nmode = \"" + w.Statements + "\"\n"
 	if !w.Door {
 		return text
--- a/internal/server/longreader.go
+++ b/internal/server/longreader.go
@@ -41,7 +41,7 @@
 	buf := make([]byte, l.pool.limits.PieceBytes)
 	for range h.next {
 		n, err := h.conn.Read(buf)
-		l.pool.driver.Do(func() {
+		l.pool.loop.Do(func() {
 			if n > 0 {
 				l.traffic(buf[:n])
 			}
--- a/internal/server/pool.go
+++ b/internal/server/pool.go
@@ -23,7 +23,7 @@
 type Pool struct {
 	Count PoolCounters
 
-	driver  *EventLoop
+	loop    *EventLoop
 	limits  limits.Limits
 	log     zerolog.Logger
 	core    *core.Core
@@ -75,7 +75,7 @@
 }
 
 func NewPool(d *EventLoop, l limits.Limits, log zerolog.Logger, c *core.Core) *Pool {
-	p := &Pool{driver: d, limits: l, log: log, core: c, servers: map[choice.NodeID]*database{}}
+	p := &Pool{loop: d, limits: l, log: log, core: c, servers: map[choice.NodeID]*database{}}
 	p.expire()
 	return p
 }
@@ -319,7 +319,7 @@
 			p.dial(s)
 		}
 	})
-	addr, loop := s.addr, p.driver.loop
+	addr, loop := s.addr, p.loop.loop
 	// gnet's own Register dials with no time-out and cannot be cancelled; Enroll takes a connection as it is.
 	go func() {
 		c, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
@@ -334,7 +334,7 @@
 			if errors.Is(err, syscall.ECONNREFUSED) { // a machine that is cut off does not say this
 				why = choice.NoProcess
 			}
-			p.driver.Do(func() {
+			p.loop.Do(func() {
 				if !l.dead {
 					p.refused(l, why)
 				}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -17,8 +17,8 @@
 	"capercove/internal/discovery"
 	"capercove/internal/emulator"
 	"capercove/internal/pg"
+	"capercove/internal/scenario"
 	"capercove/internal/sim"
-	"capercove/internal/world"
 )
 
 // Fleet is an emulated fleet on sockets.
@@ -54,7 +54,7 @@
 }
 
 // Start puts the fleet of a world on sockets of the address, such as 127.0.0.1.
-func Start(w *world.World, host string) (f *Fleet, err error) {
+func Start(w *scenario.Scenario, host string) (f *Fleet, err error) {
 	f = &Fleet{Clock: sim.NewClock(), closing: make(chan struct{}), rng: rand.New(rand.NewPCG(w.Seed, 0x7370))}
 	f.Clock.Wait(func() {
 		f.Fleet = emulator.New(w, f.Clock)
@@ -75,7 +75,7 @@
 
 func (f *Fleet) addPooler(i int, host string) error {
 	zones := f.World.Zones()
-	p := &pooler{fleet: f, name: world.PoolerName(i), zone: zones[i%len(zones)], watches: map[chan discovery.List]struct{}{}}
+	p := &pooler{fleet: f, name: scenario.PoolerName(i), zone: zones[i%len(zones)], watches: map[chan discovery.List]struct{}{}}
 	f.poolers = append(f.poolers, p)
 	for _, m := range f.Members {
 		s := &server{pooler: p, member: m, conns: map[net.Conn]*conn{}}
@@ -208,7 +208,7 @@
 // idle closes the connection when it has stood idle for long.
 func (k *conn) idle() {
 	f := k.server.pooler.fleet
-	most := world.Millis(f.World.Server.IdleMS)
+	most := scenario.Millis(f.World.Server.IdleMS)
 	if k.gone {
 		return
 	}
@@ -382,7 +382,7 @@
 			}
 			change := discovery.List{Revision: revision, Members: []discovery.Entry{p.entry(s)}}
 			late := f.World.List.LateMS
-			at := f.Clock.Now() + world.Millis(late[0]+(late[1]-late[0])*f.rng.Float64())
+			at := f.Clock.Now() + scenario.Millis(late[0]+(late[1]-late[0])*f.rng.Float64())
 			f.Clock.At(at, func() { p.tell(change) })
 		}
 	}
@@ -440,7 +440,7 @@
 }
 
 // listing makes discovery fail for a while.
-func (f *Fleet) listing(x world.Fault) {
+func (f *Fleet) listing(x scenario.Fault) {
 	for _, p := range f.poolers {
 		p.down = true
 		for w := range p.watches {
@@ -449,7 +449,7 @@
 		clear(p.watches)
 	}
 	if x.For > 0 {
-		f.Clock.At(f.Clock.Now()+world.Seconds(x.For), func() {
+		f.Clock.At(f.Clock.Now()+scenario.Seconds(x.For), func() {
 			for _, p := range f.poolers {
 				p.down = false
 			}
--- a/internal/store/linear_test.go
+++ b/internal/store/linear_test.go
@@ -16,7 +16,7 @@
 	"github.com/anishathalye/porcupine"
 	"github.com/stretchr/testify/require"
 
-	"capercove/internal/rig"
+	"capercove/internal/faults"
 	"capercove/internal/store"
 	"capercove/internal/testbed"
 )
@@ -151,8 +151,8 @@
 					}
 				})
 			}
-			for _, step := range rig.Plan(seed, f.Names, 8) {
-				if step.What != rig.Garble { // raft's transport has no checksums
+			for _, step := range faults.Plan(seed, f.Names, 8) {
+				if step.What != faults.Garble { // raft's transport has no checksums
 					f.Do(step)
 				}
 				until := tried.Load() + 20 // calls, answered or not
--- a/internal/testbed/fleet.go
+++ b/internal/testbed/fleet.go
@@ -15,15 +15,15 @@
 
 	"github.com/stretchr/testify/require"
 
+	"capercove/internal/faults"
 	"capercove/internal/fleet/gossip"
-	"capercove/internal/rig"
 )
 
 // Fleet is several poolers of the shipped program on addresses of their own, with a relay of the rig between each pair of them, and
 // all before the same databases.
 type Fleet struct {
 	T     *testing.T
-	Net   *rig.Net
+	Net   *faults.Net
 	Names []string
 	Beds  map[string]*Bed
 
@@ -124,7 +124,7 @@
 func (f *Fleet) API(name string) string { return f.apis[name] }
 
 func newFleet(t *testing.T, seed uint64, n int, options []Option) *Fleet {
-	f := &Fleet{T: t, Net: rig.New(seed), Beds: map[string]*Bed{}, own: map[string]string{}, public: map[string]string{},
+	f := &Fleet{T: t, Net: faults.New(seed), Beds: map[string]*Bed{}, own: map[string]string{}, public: map[string]string{},
 		apis: map[string]string{}, options: options, paused: map[string]bool{}, down: map[string]bool{}}
 	pid, number := os.Getpid(), byte(fleets.Add(1))
 	for i := range n {
@@ -282,15 +282,15 @@
 }
 
 // Do carries out one step of a schedule.
-func (f *Fleet) Do(s rig.Step) {
+func (f *Fleet) Do(s faults.Step) {
 	switch s.What {
-	case rig.Kill:
+	case faults.Kill:
 		f.Kill(s.One)
-	case rig.Restart:
+	case faults.Restart:
 		f.Restart(s.One)
-	case rig.Pause:
+	case faults.Pause:
 		f.Pause(s.One)
-	case rig.Resume:
+	case faults.Resume:
 		f.Resume(s.One)
 	default:
 		f.Net.Apply(s)
--- a/internal/works/driver/cases_test.go
+++ b/internal/works/driver/cases_test.go
@@ -15,7 +15,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"capercove/internal/rig"
+	"capercove/internal/faults"
 	"capercove/internal/testbed"
 	"capercove/internal/works"
 	"capercove/internal/works/driver"
@@ -133,7 +133,7 @@
 	require.False(t, s.Agreed)
 	require.Equal(t, works.Running, s.Plan.State, "as it was when it was last read")
 	for _, name := range rest {
-		r.Net.Both("operator", name, rig.Link{})
+		r.Net.Both("operator", name, faults.Link{})
 	}
 	h.open()
 	r.eventually(func() bool { return len(h.calls()) == 2 && !h.calls()[1].to.IsZero() }, "the other is worked on without it")
--- a/internal/works/driver/plant_test.go
+++ b/internal/works/driver/plant_test.go
@@ -5,7 +5,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"capercove/internal/rig"
+	"capercove/internal/faults"
 	"capercove/internal/testbed"
 	"capercove/internal/works"
 )
@@ -25,7 +25,7 @@
 				h.began(1)
 				for _, name := range r.Names {
 					if name != one {
-						r.Net.Both(one, name, rig.Link{Cut: true})
+						r.Net.Both(one, name, faults.Link{Cut: true})
 					}
 				}
 				h.open()
--- a/internal/works/driver/process_test.go
+++ b/internal/works/driver/process_test.go
@@ -15,7 +15,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"capercove/internal/rig"
+	"capercove/internal/faults"
 	"capercove/internal/testbed"
 	"capercove/internal/works"
 	"capercove/internal/works/driver"
@@ -309,8 +309,8 @@
 			r.start("n1", "machines = [\"db-1\", \"db-2\", \"db-3\"]\nfresh = 1\ngo_on = true\n")
 			end := r.load()
 			defer end()
-			for _, step := range rig.Plan(seed, r.Names, 10) {
-				if step.What == rig.Garble { // raft's streams have no checksums
+			for _, step := range faults.Plan(seed, r.Names, 10) {
+				if step.What == faults.Garble { // raft's streams have no checksums
 					continue
 				}
 				r.Do(step)
