Give Flight SQL its part of the descriptors, and its connections to databases a bound

With all tables full accepts and dials fail for want of descriptors.

Change: where the front is on, a twentieth each for its clients and its databases is taken off first. A connection without a call gives way for another, used least lately first; with none, the attempt was sent nowhere and the router goes elsewhere. Off, nothing changes.

--- a/cmd/capercove/main.go
+++ b/cmd/capercove/main.go
@@ -138,7 +138,7 @@
 	if cfg.ListenFD > 0 {
 		beside = besides(cfg, log)
 	}
-	l := limitsOf(cfg)
+	l := limitsOf(cfg, own)
 	if cfg.ListenFD > 0 && beside == nil {
 		l.Clients, l.Servers = l.Clients/2, l.Servers/2
 	}
@@ -313,12 +313,14 @@
 }
 
 // limitsOf are the limits that a configuration asks for.
-func limitsOf(c config.Config) limits.Limits {
+func limitsOf(c config.Config, own file) limits.Limits {
+	machine := c.Machine
+	machine.Flight = own.Flight.Listen != ""
 	var longest time.Duration
 	for _, class := range c.Settings.Classes {
 		longest = max(longest, class.Deadline)
 	}
-	return limits.For(c.Machine, c.Facts.Connect, c.Facts.Keepalive, longest)
+	return limits.For(machine, c.Facts.Connect, c.Facts.Keepalive, longest)
 }
 
 // settings are the core's part of the configuration.
@@ -506,7 +508,7 @@
 	fair := p.own.Door.Enabled
 	p.own.Door = own.Door
 	p.own.Door.Enabled = fair
-	l := limitsOf(c)
+	l := limitsOf(c, p.own)
 	p.loop.Do(func() {
 		p.core.Retune(settings(c))
 		p.intake.Statements(own.Statements, l.Shapes, c.Seed, l.LogEvery, p.log)
--- a/internal/flight/backend.go
+++ b/internal/flight/backend.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"time"
 
 	"github.com/apache/arrow-go/v18/arrow/flight"
 	"github.com/rs/zerolog"
@@ -36,6 +37,7 @@
 	addr    string
 	grpc    *grpc.ClientConn
 	uses    int
+	used    time.Duration // when it was last taken into use
 	retired bool
 	here    context.Context // over once the database is gone, banned or elsewhere: nothing is begun on it from then on
 	leave   context.CancelFunc
@@ -69,11 +71,18 @@
 	}
 }
 
+// errFull tells that there is no room for one more connection, as all that there are carry calls.
+var errFull = errors.New("too many connections to databases")
+
 // conn returns the connection to a database.
-func (b *Backend) conn(m *core.Member) (*conn, error) {
+func (b *Backend) conn(m *core.Member, now time.Duration) (*conn, error) {
 	if c := b.conns[m.ID]; c != nil {
+		c.used = now
 		return c, nil
 	}
+	if len(b.conns) >= b.limits.FlightServers && !b.evict() { // Against running out of descriptors.
+		return nil, errFull
+	}
 	addr := b.config.addr(m.Name, m.Addr)
 	// No retries of the library's, by service config or by itself (see oneTry): the router alone sends again.
 	cc, err := grpc.NewClient("passthrough:///"+addr, grpc.WithTransportCredentials(insecure.NewCredentials()),
@@ -82,17 +91,36 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{addr: addr, grpc: cc}
+	c := &conn{addr: addr, grpc: cc, used: now}
 	c.here, c.leave = context.WithCancel(context.Background())
 	b.conns[m.ID] = c
 	return c, nil
 }
 
+// evict closes the connection without a call that was used least lately.
+func (b *Backend) evict() bool {
+	var oldest *conn
+	var of choice.NodeID
+	for id, c := range b.conns {
+		if c.uses == 0 && (oldest == nil || c.used < oldest.used) {
+			oldest, of = c, id
+		}
+	}
+	if oldest != nil {
+		b.retire(of, oldest)
+	}
+	return oldest != nil
+}
+
 // Send begins an attempt.
 func (b *Backend) Send(a *core.Attempt) {
-	c, err := b.conn(a.Member)
+	c, err := b.conn(a.Member, b.core.Now())
 	if err != nil {
-		b.core.Done(a, choice.NoConnect, choice.Evidence{}, nil)
+		status := choice.NoConnect
+		if errors.Is(err, errFull) { // it tells nothing of the database
+			status = choice.NotSent
+		}
+		b.core.Done(a, status, choice.Evidence{}, nil)
 		return
 	}
 	c.uses++
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -31,6 +31,7 @@
 	ListBytes     int   // one list, or one line of a watch
 	FlightMessage int   // longest message of a Flight stream
 	FlightClients int   // connections of Flight clients
+	FlightServers int   // connections to databases over Flight, each of which carries many calls
 	FlightCalls   int   // Flight calls at once, each of which may hold two messages
 
 	DoorQueue    int           // requests that wait at the door, over all groups
@@ -94,6 +95,7 @@
 	MemoryMB int
 	Sockets  int
 	Shared   bool // at an upgrade, with a second process of the program
+	Flight   bool // the Flight SQL front is on, and has its part of the sockets
 }
 
 // For returns the limits on a machine, for databases that take this long to connect and close connections that
@@ -103,6 +105,10 @@
 	stop := min(longest, 3*time.Second) + 500*time.Millisecond
 	const leaving = 8
 	sockets := max(64, m.Sockets-48-leaving)
+	flight := sockets / 20
+	if m.Flight {
+		sockets -= 2 * flight
+	}
 	clients, servers := sockets*7/10, sockets*3/10
 	memory := int64(m.MemoryMB) << 20 * 6 / 10
 	if m.Shared { // Against two processes that together hold more than the machine grants; sockets: package share.
@@ -134,7 +140,8 @@
 		Members:       4096,
 		ListBytes:     4 << 20,
 		FlightMessage: flightMessage,
-		FlightClients: sockets / 20,
+		FlightClients: flight,
+		FlightServers: flight,
 		FlightCalls:   max(8, int(memory/4/flightMessage)),
 
 		DoorQueue:    4096,
