--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -22,7 +22,7 @@
 	MessageBytes  int   // longest message held whole, from a client or a database
 	AnswerWhole   int   // a database's value up to this is held whole, a longer one is passed on in pieces
 	AnswerBytes   int   // longest value taken from a database
-	SocketBytes   int   // what the system may hold for a connection, each way; left to itself it is megabytes
+	SocketBytes   int   // what the system may hold for a client's connection, each way; left to itself it is megabytes
 	PieceBytes    int   // a long answer is read in pieces of this, and stops while its client has more unread
 	InputBytes    int   // bytes that a client may send ahead of its answers before it is closed
 	ClientBytes   int   // what all clients' connections may hold of both; the next to add to it is closed
