Show a whole answer with foreign bytes behind one that broke off

Cause: while the output behind a broken answer is still being sent, the response to a later command that completes is written too: flush tests for a closed connection alone.

--- a/review/standin/pg.go
+++ b/review/standin/pg.go
@@ -50,8 +50,8 @@
 		return 0, nil, fmt.Errorf("message %q has length %d", head[0], size)
 	}
 	body = make([]byte, size-4)
-	_, err = io.ReadFull(in, body)
-	return head[0], body, err
+	n, err := io.ReadFull(in, body)
+	return head[0], body[:n], err
 }
 
 // label returns a field of the comment that ends a statement.
@@ -81,6 +81,8 @@
 type client struct {
 	conn net.Conn
 	in   *bufio.Reader
+
+	begun int // bytes of a message of which the rest did not come
 }
 
 // dialClient connects and sends the startup message, and waits for its answer.
@@ -89,7 +91,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &client{conn, bufio.NewReaderSize(conn, 256<<10)}
+	c := &client{conn: conn, in: bufio.NewReaderSize(conn, 256<<10)}
 	body := []byte("\x00\x03\x00\x00user\x00client\x00database\x00core\x00\x00")
 	start := binary.BigEndian.AppendUint32(nil, uint32(len(body)+4))
 	if _, err = conn.Write(append(start, body...)); err != nil {
@@ -138,6 +140,7 @@
 	for {
 		kind, body, err := readMessage(c.in)
 		if err != nil {
+			c.begun = len(body)
 			return answer{kind: "none", err: err}
 		}
 		switch kind {
