Show writes that ran and whose answers a pooler drops after SIGTERM

Cause: a connection whose answers are in the system's send queue counts as between requests; it is half-closed, and closed 250 ms later. A request that arrives then resets it, and the answers on their way are lost. Change: a case of the review with its test, in place of the client that pipelines more than 2 MiB, whose test stays among the stand-ins.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,10 +1,10 @@
 #!/bin/sh
-# Plays the case "pipeline" (review/standin/pipeline.go) against the pooler of the deploy file, and writes record.txt beside this file.
+# Plays the case "restart" (review/standin/restart.go) against the pooler of the deploy file, and writes record.txt beside this file.
 # Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves out the disruption.
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$here/../.." || exit 2
 [ -x review/bin/standin ] || { echo "review/build.sh has not been run" >&2; exit 2; }
-timeout --kill-after=3 110 review/bin/standin pipeline "$here/record.txt"
+timeout --kill-after=3 110 review/bin/standin restart "$here/record.txt"
 status=$?
 [ "$status" -le 1 ] || exit 2
 exit "$status"
