--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -4,7 +4,13 @@
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$here/../.." || exit 2
 [ -x review/bin/standin ] || { echo "review/build.sh has not been run" >&2; exit 2; }
-timeout --kill-after=3 110 review/bin/standin foreign "$here/record.txt"
+TMPDIR=$(mktemp -d) || exit 2
+export TMPDIR
+trap 'rm -rf "$TMPDIR"' EXIT
+timeout --kill-after=3 110 review/bin/standin foreign "$here/record.txt" &
+child=$!
+trap 'kill "$child"; wait "$child"; exit 2' INT TERM # the pooler is killed with the stand-in
+wait "$child"
 status=$?
 [ "$status" -le 1 ] || exit 2
 exit "$status"
