Write nothing behind an answer that breaks off

Cause: the end of a connection was decided by its output buffer, not by its queue of responses. Failed marked a streamed response that broke off as the last one, but the responses behind it stayed in the queue and the connection stayed open for commands. closeAfterFlush waits until the client has taken what is buffered; a later response that completed meanwhile was written by flush, which looked for stageClosed alone. The error of a message timeout went the same way, and readCommands submitted further commands before flush saw the last response.

Change: breakOff closes the queue where an answer breaks off. All responses behind it are dropped: unsent requests are never sent, the others are counted by what is known of them (three new counters, hence the golden files of the counters' names). write, through which all bytes for a client pass, writes nothing once the connection is closing.

--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"capercove/internal/timerwheel"
@@ -91,6 +92,11 @@
 	return open
 }
 
+// IsWritten reports whether an attempt of the request has been written to a database: the request may have run.
+func (request *Request) IsWritten() bool {
+	return slices.ContainsFunc(request.attempts, func(attempt *Attempt) bool { return attempt.written })
+}
+
 // Submit accepts a request. The request is rejected before Submit returns if too many are open, which bounds the table,
 // or after AnswerAll, since the request would be lost when the process exits. All other answers follow later.
 func (c *Core) Submit(request *Request) {
--- a/internal/frontend/close.go
+++ b/internal/frontend/close.go
@@ -6,6 +6,29 @@
 	"capercove/internal/eventloop"
 )
 
+// breakOff ends the connection behind a response of which only a part can be written, which is always the first one.
+// The client must read nothing but the end of the connection behind that part: it would take any other byte for the
+// rest of the value. All responses are therefore dropped, and no further command is read.
+func (connection *clientConnection) breakOff() {
+	connection.stopReading()
+	connection.session.End()
+	dropped := connection.dropResponses()
+	connection.frontend.counters.countDropped(dropped[1:])
+	connection.closeAfterFlush()
+}
+
+// dropResponses removes all responses and returns them. Their open requests end: none is sent any more.
+func (connection *clientConnection) dropResponses() []*clientResponse {
+	dropped := connection.responses
+	connection.responses = nil
+	for _, response := range dropped {
+		if response.request != nil && !response.state.isFinal() {
+			connection.frontend.core.ClientGone(response.request)
+		}
+	}
+	return dropped
+}
+
 // closeAfterFlush half-closes the connection as soon as gnet's output buffer has been sent, because closing earlier
 // would drop the buffered output. Until then, enforceBounds closes the connection if the client does not read.
 func (connection *clientConnection) closeAfterFlush() {
@@ -58,10 +81,5 @@
 		frontend.observer.Closed(connection.number)
 	}
 	frontend.table.move(connection, placeNone)
-	for _, response := range connection.responses {
-		if response.request != nil && !response.state.isFinal() {
-			frontend.core.ClientGone(response.request)
-		}
-	}
-	connection.responses = nil
+	connection.dropResponses()
 }
--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -38,8 +38,15 @@
 	unsentChangedAt time.Duration // when unsentBytes last changed
 }
 
-// write writes to the client. Errors need no handling: if the write fails, gnet calls Closed before write returns.
-func (connection *clientConnection) write(data []byte) { _, _ = connection.socket.Write(data) }
+// write writes to the client. All bytes for the client pass through it. Once the connection is closing it writes
+// nothing, since the client must only read a prefix of what it is owed. Errors need no handling: if the write fails,
+// gnet calls Closed before write returns.
+func (connection *clientConnection) write(data []byte) {
+	if connection.stage.isClosing() {
+		return
+	}
+	_, _ = connection.socket.Write(data)
+}
 
 // isIdle reports whether the client is owed no response and has sent nothing that is not handled yet.
 func (connection *clientConnection) isIdle() bool {
--- a/internal/frontend/counters.go
+++ b/internal/frontend/counters.go
@@ -10,6 +10,26 @@
 	Closed    int64 `json:"Closed"`     // connections that have been closed by either side, including rejected ones
 	Commands  int64 `json:"Commands"`   // commands that were read
 	BadInputs int64 `json:"Bad"`        // rejected commands, and connections rejected or closed for bad input
+
+	// Requests whose responses were dropped behind one that broke off, by what is known of them.
+	DroppedAnswered int64 `json:"DroppedAnswered"` // answered, and the answer was not written
+	DroppedWritten  int64 `json:"DroppedWritten"`  // written to a database: it may have run
+	DroppedUnsent   int64 `json:"DroppedUnsent"`   // never written whole to a database: it has not run
+}
+
+// countDropped counts the requests of responses that were dropped behind one that broke off.
+func (counters *Counters) countDropped(responses []*clientResponse) {
+	for _, response := range responses {
+		switch {
+		case response.request == nil:
+		case response.state.isFinal():
+			counters.DroppedAnswered++
+		case response.request.IsWritten():
+			counters.DroppedWritten++
+		default:
+			counters.DroppedUnsent++
+		}
+	}
 }
 
 // Counters returns a snapshot of the counters.
--- a/internal/frontend/counters_test.go
+++ b/internal/frontend/counters_test.go
@@ -11,8 +11,10 @@
 func TestCountersAsJSON(t *testing.T) {
 	text, err := json.Marshal(Counters{
 		Accepted: 1, Rejected: 2, Evicted: 3, Expired: 4, Closed: 5, Commands: 6, BadInputs: 7,
+		DroppedAnswered: 8, DroppedWritten: 9, DroppedUnsent: 10,
 	})
 	require.NoError(t, err)
 	require.Equal(t,
-		`{"Accepted":1,"TurnedAway":2,"Evicted":3,"Expired":4,"Closed":5,"Commands":6,"Bad":7}`, string(text))
+		`{"Accepted":1,"TurnedAway":2,"Evicted":3,"Expired":4,"Closed":5,"Commands":6,"Bad":7,`+
+			`"DroppedAnswered":8,"DroppedWritten":9,"DroppedUnsent":10}`, string(text))
 }
--- a/internal/frontend/read.go
+++ b/internal/frontend/read.go
@@ -126,7 +126,7 @@
 // abortPartialMessage is called when an incomplete message has timed out. It sends a fatal error after the responses to
 // the earlier commands, and then closes the connection.
 func (connection *clientConnection) abortPartialMessage() {
-	if connection.input == inputPartial {
+	if connection.input == inputPartial && connection.stage == stageOpen {
 		connection.handleCommand(connection.session.Fatal(pg.CodeProtocol, textMessageUnfinished))
 		connection.flush()
 	}
--- a/internal/frontend/response.go
+++ b/internal/frontend/response.go
@@ -13,8 +13,9 @@
 //
 //	pending -> streaming -> complete   a streamed answer
 //	pending -> complete                an answer that arrives as a whole
-//	streaming -> last                  a streamed answer that broke off
 //	complete, last                     initial states of a command that needs no request
+//
+// A streamed answer that breaks off has no final state: breakOff removes its response with all later ones.
 type responseState uint8
 
 const (
@@ -76,26 +77,33 @@
 
 // Rejected implements core.Client. The client receives an error that says that nothing was run and when to retry.
 func (response *clientResponse) Rejected(after time.Duration) {
-	response.complete(responseComplete, pg.AppendRejection(nil, after))
+	response.completeWithError(pg.AppendRejection(nil, after))
 }
 
-// Failed implements core.Client. The client receives an error, unless a part of the answer has been written already. In
-// that case the connection is closed without an error message, because a partial value must not look like a whole one.
+// Failed implements core.Client. The client receives an error.
 func (response *clientResponse) Failed(reason core.Failure) {
-	if response.state == responseStreaming {
-		response.complete(responseLast, nil)
-		return
-	}
-	var failure []byte
+	response.completeWithError(failureMessage(reason))
+}
+
+// failureMessage returns the error that a client receives for a request that failed.
+func failureMessage(reason core.Failure) []byte {
 	switch reason {
 	case core.DeadlineExceeded:
-		failure = pg.AppendFailure(nil, pg.CodeQueryCanceled, "no answer in time; it may have run")
+		return pg.AppendFailure(nil, pg.CodeQueryCanceled, "no answer in time; it may have run")
 	case core.Unusable:
-		failure = pg.AppendFailure(nil, pg.CodeSyntax, "the databases cannot use the statement")
-	default:
-		failure = pg.AppendFailure(nil, pg.CodeSystemError, "failed; it may have run")
+		return pg.AppendFailure(nil, pg.CodeSyntax, "the databases cannot use the statement")
 	}
-	response.complete(responseComplete, failure)
+	return pg.AppendFailure(nil, pg.CodeSystemError, "failed; it may have run")
+}
+
+// completeWithError completes the response with an error. If a part of the answer has been written already, the
+// connection ends without the error, because the client would take the error for the rest of the value.
+func (response *clientResponse) completeWithError(message []byte) {
+	if response.state == responseStreaming {
+		response.connection.breakOff()
+		return
+	}
+	response.complete(responseComplete, message)
 }
 
 // HasLeft implements core.DepartureDetector. It reports whether the client has closed its connection, even if the event
@@ -124,10 +132,10 @@
 // flush writes the responses that are next in order. It closes the connection after its last response, and also if the
 // frontend is draining and the connection is between requests.
 func (connection *clientConnection) flush() {
-	output, isLast := connection.takeOutput()
-	if connection.stage == stageClosed {
+	if connection.stage.isClosing() {
 		return
 	}
+	output, isLast := connection.takeOutput()
 	if len(output) > 0 {
 		connection.lastUse = connection.frontend.core.Now()
 		connection.write(output)
--- a/internal/frontend/state.go
+++ b/internal/frontend/state.go
@@ -7,9 +7,11 @@
 //
 // The functions that advance the stage, the stages in which each is called, and when:
 //
-//	stopReading      open               a command or an error ends the connection, or the connection is rejected
-//	closeAfterFlush  open, lastCommand  the last response is written, the connection is idle, or the frontend drains
-//	                                    or stops; called again while flushing, until all output has been sent
+//	stopReading      open               a command or an error ends the connection, the connection is rejected, or a
+//	                                    response breaks off
+//	closeAfterFlush  open, lastCommand  the last response is written, a response breaks off, the connection is idle,
+//	                                    or the frontend drains or stops; called again while flushing, until all
+//	                                    output has been sent
 //	halfClose        all before         closeAfterFlush, when all output has been sent; a rejection or an eviction
 //	Closed           all                either side has closed the connection; also during one of the other functions,
 //	                                    since a failed write calls Closed before it returns
@@ -23,11 +25,10 @@
 	stageOpen closeStage = iota
 	// stageLastCommand: no further command is read; the responses to the commands so far are written.
 	stageLastCommand
-	// stageFlushing: the connection is half-closed as soon as all output has been sent.
+	// stageFlushing: the connection is half-closed as soon as all output has been sent. Nothing is added to the output.
 	stageFlushing
 	// stageHalfClosed: the sending side is shut down, and the client is expected to close its side. Bytes that arrive
-	// are read and dropped. Responses after one that broke off may still be written; such a write fails and closes the
-	// connection.
+	// are read and dropped.
 	stageHalfClosed
 	// stageClosed: no bytes are written or read, and no timer runs.
 	stageClosed
@@ -62,7 +63,7 @@
 func (connection *clientConnection) stopReading() { connection.advanceTo(stageLastCommand) }
 
 // inputState is whether a message of the client is incomplete. It is independent of the closeStage: a connection may be
-// closed while a message is incomplete, and the message's timeout keeps running after a response that broke off.
+// closed while a message is incomplete.
 type inputState uint8
 
 const (
--- a/internal/pg/session.go
+++ b/internal/pg/session.go
@@ -78,14 +78,19 @@
 
 // Fatal closes the session and returns the command that sends a fatal error. Buffered bytes are dropped.
 func (s *Session) Fatal(code, why string) Command {
+	s.End()
+	return Command{Reply: AppendError(nil, SeverityFatal, code, why, ""), Close: true, RejectReason: why}
+}
+
+// End closes the session without an answer. Buffered bytes are dropped.
+func (s *Session) End() {
 	s.state.end()
 	s.input.buffer = nil
-	return Command{Reply: AppendError(nil, SeverityFatal, code, why, ""), Close: true, RejectReason: why}
 }
 
-// disconnect closes the session without an answer.
+// disconnect returns the command that closes the session without an answer.
 func (s *Session) disconnect() Command {
-	s.state.end()
+	s.End()
 	return Command{Close: true}
 }
 
