Write no copy of a write after its deduplication window

Cause: the window was tested when the router decided on the repeat (mayAttempt) and never again, while the attempt waited up to connectTimeoutMs for a connection. The check before the write took the deadline, the proof of freshness and the database's state from three places, so that a condition could be forgotten. Found on the same path: a statement that the socket does not take whole was never checked again, and gnet wrote the rest of one whose attempt had ended when its connection was closed.

Change: routing.WriteLimit is the one value that goes with an attempt: the earliest end of deadline, freshness and window, and which it is. core.CheckWrite asks it with what has no known end directly before the first byte, and every 10 ms while a part of the statement waits for room; the refusal is counted by its reason (core.Refusals, hence the golden files of the counters' names). A closing connection discards what is not sent.

Tests of routing, core, backend, flight, model, lab, contract passed.

--- a/internal/backend/broken_statement_test.go
+++ b/internal/backend/broken_statement_test.go
@@ -77,18 +77,25 @@
 	_, _ = connection.Write(reply) // the program or breakOff may have closed it
 }
 
-// A database answers, resets the connection or shuts down its sending side when it has received only a part of a write.
-// Such an answer is not passed to the client. The rest of the write may still be sent: the write may have run, and it
-// is not retried. After a reset or a shutdown the rest is not sent, even if the database continues to read: the write
-// never ran, and it is retried.
-func TestPartlySentWriteIsRetriedOnlyIfItNeverRan(t *testing.T) {
+// withSmallSendBuffer builds the program with small send buffers towards databases: the rest of a statement has to
+// wait.
+func withSmallSendBuffer(t *testing.T) string {
+	t.Helper()
 	const dial = `connection, err := l.dialer.DialContext(ctx, "tcp", address)`
 	const shrink = `connection.(interface{ SetWriteBuffer(int) error }).SetWriteBuffer(4 << 10)`
-	program := testbed.Variant(t, testbed.Edit{ // a small send buffer: the rest of a statement has to wait
+	return testbed.Variant(t, testbed.Edit{
 		File: "internal/eventloop/loop.go",
 		Old:  dial,
 		New:  dial + "; if err == nil { " + shrink + " }",
 	})
+}
+
+// A database answers, resets the connection or shuts down its sending side when it has received only a part of a write.
+// Such an answer is not passed to the client. The rest of the write may still be sent: the write may have run, and it
+// is not retried. After a reset or a shutdown the rest is not sent, even if the database continues to read: the write
+// never ran, and it is retried.
+func TestPartlySentWriteIsRetriedOnlyIfItNeverRan(t *testing.T) {
+	program := withSmallSendBuffer(t)
 	for name, test := range map[string]struct {
 		breakOff func(connection *net.TCPConn) error
 		begun    int // expected number of times that the statement begins to arrive
--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -18,6 +18,9 @@
 	startupDatabase = "core"
 )
 
+// writeRecheckTicks is the delay, in timer ticks, after which recheckWriteLater checks an attempt again.
+const writeRecheckTicks = 2
+
 // connection is one connection to a database. It implements eventloop.DialedSocket. It must be used on the event loop
 // only; pool and address never change, and other goroutines may read them.
 type connection struct {
@@ -114,11 +117,37 @@
 // whole statement has been handed to the kernel.
 func (connection *connection) sendAttempt(job *job, now time.Duration) {
 	connection.write(job.query.AppendWithWait(nil, job.attempt.Deadline-now))
-	if connection.state == stateAwaitingAnswer && connection.socket.OutboundBuffered() == 0 {
-		connection.pool.core.Written(job.attempt)
+	if connection.state == stateAwaitingAnswer && !connection.notifyWritten() {
+		connection.recheckWriteLater(job)
 	}
 }
 
+// recheckWriteLater schedules a check of an attempt whose statement waits for room in the socket. The statement begins
+// at the database once its last byte has arrived, so the attempt must still be allowed then.
+func (connection *connection) recheckWriteLater(job *job) {
+	pool := connection.pool
+	at := min(pool.core.Now()+writeRecheckTicks*pool.limits.TimerTick, job.attempt.WriteLimit.Until)
+	job.timer = pool.core.Wheel.Schedule(at, func() {
+		switch {
+		case connection.notifyWritten():
+		case pool.core.MaySend(job.attempt):
+			connection.recheckWriteLater(job)
+		default:
+			pool.counters.TooLate++
+			connection.abandonUnwritten(job)
+		}
+	})
+}
+
+// abandonUnwritten ends an attempt whose statement has not been handed to the kernel whole, and closes its connection.
+func (connection *connection) abandonUnwritten(job *job) {
+	status := routing.ConnectionBroken
+	if connection.discardUnwritten() {
+		status = routing.NotSent
+	}
+	connection.pool.abort(job, status)
+}
+
 // write writes a statement. If the write fails, Closed has been called before it returns, and the connection stays
 // closed.
 func (connection *connection) write(statement []byte) {
@@ -176,7 +205,10 @@
 	database.removeIdle(connection)
 	if connection.reader != nil {
 		connection.reader.close()
-	} else {
-		eventloop.CloseNow(connection.socket)
+		return
+	}
+	if connection.socket != nil {
+		connection.discardUnwritten() // gnet would write the rest of a statement whose attempt has ended
 	}
+	eventloop.CloseNow(connection.socket)
 }
--- a/internal/backend/dial.go
+++ b/internal/backend/dial.go
@@ -202,11 +202,10 @@
 			continue
 		}
 		attempt := job.attempt
-		hasWriteBy := attempt.WriteBy > 0
 		switch {
 		case attempt.Deadline <= at:
 			pool.abort(job, database.lastFailure.status())
-		case hasWriteBy && attempt.WriteBy <= at: // too short a wait to count as a failure of the database
+		case !attempt.WriteLimit.Allows(at): // too short a wait to count as a failure of the database
 			pool.abort(job, routing.NotSent)
 		}
 	}
--- a/internal/backend/receive.go
+++ b/internal/backend/receive.go
@@ -49,7 +49,7 @@
 }
 
 // notifyWritten reports whether the whole statement has been handed to the kernel. If it has and the job is an attempt,
-// notifyWritten notifies the core.
+// notifyWritten notifies the core. The connection must carry a job.
 func (connection *connection) notifyWritten() bool {
 	if connection.socket.OutboundBuffered() > 0 {
 		return false
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -21,10 +21,10 @@
 
 // Attempt is one send of a request to a database.
 type Attempt struct {
-	Request  *Request
-	Member   *Member
-	Deadline time.Duration // on the core's clock; the attempt is cancelled at this time
-	WriteBy  time.Duration // on the core's clock; it must not be written later; 0: no limit; see MaySend
+	Request    *Request
+	Member     *Member
+	Deadline   time.Duration      // on the core's clock; the attempt is cancelled at this time
+	WriteLimit routing.WriteLimit // on the core's clock, at the latest at Deadline; see Core.CheckWrite
 
 	number         int               // index among the request's attempts
 	sentAt         time.Duration     // when the router decided on it, on the core's clock
@@ -44,13 +44,13 @@
 		Request:  request,
 		Member:   c.members[action.Node],
 		Deadline: request.deadline,
-		WriteBy:  action.WriteBy,
 		number:   len(request.attempts),
 		sentAt:   now,
 	}
 	if action.Delay > 0 {
 		attempt.Deadline = min(attempt.Deadline, now+action.Delay)
 	}
+	attempt.WriteLimit = action.Limit.And(routing.WriteLimit{Until: attempt.Deadline, Condition: routing.DeadlineLeft})
 	request.attempts = append(request.attempts, attempt)
 	request.inFlight++
 	c.pending.Leave(request.id)
@@ -70,20 +70,6 @@
 	attempt.transmission = request.Statement.Send(attempt)
 }
 
-// MaySend reports whether an attempt may still be written. A backend must call it directly before it writes the
-// statement, since the attempt may have waited for a connection. It refuses an attempt whose client has left (also if
-// attempts cannot be cancelled), whose deadline has passed, whose proof of freshness has expired, or whose database is
-// blocked or has been draining for too long.
-func (c *Core) MaySend(attempt *Attempt) bool {
-	c.detectClientGone(attempt.Request)
-	now := c.clock()
-	if attempt.done || attempt.Request.done || now >= attempt.Deadline {
-		return false
-	}
-	inTime := attempt.WriteBy == 0 || now <= attempt.WriteBy
-	return inTime && c.acceptsAttempts(attempt.Member)
-}
-
 // Written reports that the last byte of an attempt has been handed to the operating system.
 func (c *Core) Written(attempt *Attempt) {
 	if !attempt.written {
--- a/internal/core/counters.go
+++ b/internal/core/counters.go
@@ -44,11 +44,12 @@
 	NotSent   int64
 	Turned    int64 // NodeRejected
 
-	Probes, ProbesFailed int64 // health checks; those that did not end with OK
-	Asked                int64 // health checks caused by another pooler's hint
-	KeptOff              int64 // attempts not sent because their database may be in maintenance
-	Blind                int64 // attempts sent to databases that may be in maintenance; see Blocklist
-	Routers              int   // poolers that share the databases, including this one
+	Probes, ProbesFailed int64         // health checks; those that did not end with OK
+	Asked                int64         // health checks caused by another pooler's hint
+	Refusals             WriteRefusals // attempts that were refused when they were to be written
+	KeptOff              int64         // attempts not sent because their database may be in maintenance
+	Blind                int64         // attempts sent to databases that may be in maintenance; see Blocklist
+	Routers              int           // poolers that share the databases, including this one
 
 	Lists, ListsFailed int64 // endpoint lists received; failed polls and watches
 	Batches, Events    int64 // steps of the router; events passed to it
--- a/internal/core/harness_test.go
+++ b/internal/core/harness_test.go
@@ -12,8 +12,17 @@
 	"capercove/routing"
 )
 
-// drainGrace is the DrainGrace of the harness's settings.
-const drainGrace = time.Second
+// Times of the harness's settings.
+const (
+	drainGrace  = time.Second
+	dedupWindow = 800 * time.Millisecond
+)
+
+// Classes of the harness's settings.
+const (
+	classRead = iota
+	classKeyed
+)
 
 // harness drives a core: it sets the clock, and takes the place of the statements, the databases and the discovery.
 type harness struct {
@@ -68,16 +77,23 @@
 	settings := routing.Settings{
 		Routers: 1, MaxAttempts: 4, CanCancel: true, CanProbe: true, CanHedge: true, DrainGrace: drainGrace,
 		SlowStartShare: 0.2, SlowStartTime: 10 * time.Second, OverloadMultiple: 3, OverloadWindow: time.Second,
-		Classes: []routing.Class{{
-			Read: routing.AnyRead, LatencyObjective: 200 * time.Millisecond, Deadline: 5 * time.Second,
-			Weight: 1, LateWeight: 0.2,
-		}},
+		Classes: []routing.Class{
+			classRead: {
+				Read: routing.AnyRead, LatencyObjective: 200 * time.Millisecond, Deadline: 5 * time.Second,
+				Weight: 1, LateWeight: 0.2,
+			},
+			classKeyed: {
+				Read: routing.Write, Effect: routing.Deduplicated, DedupWindow: dedupWindow,
+				LatencyObjective: 200 * time.Millisecond, Deadline: 5 * time.Second, Weight: 1, LateWeight: 0.2,
+			},
+		},
 	}
 	machine := limits.Machine{MemoryMB: 64, Sockets: 256}
 	bounds := limits.For(machine, limits.Timeouts{
 		Connect: 250 * time.Millisecond, Keepalive: 15 * time.Second, LongestDeadline: 5 * time.Second,
 	}).Request
-	harness.core = core.New(core.Settings{Settings: settings, Names: []string{"read"}}, 1, bounds, zerolog.Nop(),
+	named := core.Settings{Settings: settings, Names: []string{"read", "keyed"}}
+	harness.core = core.New(named, 1, bounds, zerolog.Nop(),
 		func() time.Duration { return harness.now }, func() {}, ready)
 	harness.core.Attach(harness, harness, harness)
 	harness.core.Start()
--- a/internal/limits/backend.go
+++ b/internal/limits/backend.go
@@ -26,6 +26,8 @@
 	HealthCheckTimeout time.Duration
 	// IdleTimeout closes a connection that is idle for so long.
 	IdleTimeout time.Duration
+	// TimerTick is the resolution of timers.
+	TimerTick time.Duration
 	// LogInterval is the least time between two log lines about one kind of bad input.
 	LogInterval time.Duration
 	// Retry is the backoff of dials, after a momentary shortage of system resources.
@@ -43,6 +45,7 @@
 		ConnectTimeout:        timeouts.Connect,
 		HealthCheckTimeout:    timeouts.Connect,
 		IdleTimeout:           backendIdleTimeout(timeouts.Keepalive),
+		TimerTick:             timerTick,
 		LogInterval:           logInterval,
 		Retry:                 retry(),
 	}
--- a/internal/limits/names_test.go
+++ b/internal/limits/names_test.go
@@ -50,6 +50,7 @@
 	"Backend.ConnectTimeout":        "ConnectTimeout",
 	"Backend.HealthCheckTimeout":    "ProbeTimeout",
 	"Backend.IdleTimeout":           "ServerIdle",
+	"Backend.TimerTick":             "Tick",
 	"Backend.LogInterval":           "LogEvery",
 	"Backend.Retry.FirstBackoff":    "RetryFirst",
 	"Backend.Retry.MaxBackoff":      "RetryMost",
--- a/internal/model/backend.go
+++ b/internal/model/backend.go
@@ -110,7 +110,7 @@
 		pooler.afterNetworkDelay(func() { sent.finish(routing.ConnectRefused, routing.Evidence{}, nil) })
 		return
 	}
-	if sent.attempt.WriteBy > 0 && pooler.Core.Now() > sent.attempt.WriteBy {
+	if !sent.attempt.WriteLimit.Allows(pooler.Core.Now()) {
 		sent.finish(routing.NotSent, routing.Evidence{}, nil)
 		return
 	}
--- a/routing/api.go
+++ b/routing/api.go
@@ -247,7 +247,7 @@
 	Node    NodeID        // Send, Probe
 	Attempt int           // Cancel: index of the attempt among those of its request, from 0
 	Delay   time.Duration // Send: timeout, 0: the client's; Reject: time until a retry, 0: no advice; SetTimer
-	WriteBy time.Duration // Send: the router's time after which the request must not be written; 0: no limit
+	Limit   WriteLimit    // Send: the time before which the attempt must be written
 }
 
 // ActionKind is the kind of an Action.
--- a/routing/attempts.go
+++ b/routing/attempts.go
@@ -39,7 +39,7 @@
 		return true
 	}
 	return class.Effect == Deduplicated &&
-		r.now-request.firstSentAt < class.DedupWindow &&
+		r.now < request.repeatableUntil() &&
 		(class.DedupGroup != DedupZone || node.Zone == request.dedupNode.Zone)
 }
 
@@ -63,6 +63,7 @@
 
 // send starts an attempt at the node.
 func (r *Router) send(request *openRequest, node *nodeRecord) {
+	limit := r.writeLimit(request, node)
 	node.slowStart.Sent(r.now, r.settings.OverloadWindow, r.slowStartWork(request))
 	if !request.mayHaveRun {
 		request.mayHaveRun, request.firstSentAt, request.dedupNode = true, r.now, node
@@ -78,7 +79,7 @@
 	if request.class.Read == Write {
 		r.writes.Sent(request.Session)
 	}
-	r.emit(Action{Kind: Send, Request: request.id, Node: node.ID, WriteBy: r.freshUntil(node, request)})
+	r.emit(Action{Kind: Send, Request: request.id, Node: node.ID, Limit: limit})
 }
 
 // attemptDone processes the outcome of an attempt. It returns the request if it must be routed again, otherwise nil.
--- a/routing/freshness.go
+++ b/routing/freshness.go
@@ -25,7 +25,7 @@
 	return node.positionReportedAt + r.offset.Earliest - node.position
 }
 
-// freshUntil returns the router's time after which a read must not be written to the node, or 0 if there is no limit.
+// freshUntil returns the router's time from which a read must not be written to the node, or 0 if there is no limit.
 // While a connection is opened, the data of the node may become too old for the read.
 func (r *Router) freshUntil(node *nodeRecord, request *openRequest) time.Duration {
 	if request.class.Read != BoundedRead || node.role == Primary || r.settings.StaleReads != StaleAnswered {
--- a/routing/remotetime_test.go
+++ b/routing/remotetime_test.go
@@ -91,8 +91,8 @@
 	if read.replica && read.class == classBounded {
 		// The time of the router's clock at which the position becomes too old.
 		end := arrived - read.age + harness.router.settings.Classes[classBounded].MaxAge
-		require.LessOrEqual(t, actions[0].WriteBy, end)
-		require.GreaterOrEqual(t, actions[0].WriteBy, end-2*offsetError)
+		require.LessOrEqual(t, actions[0].Limit.Until, end)
+		require.GreaterOrEqual(t, actions[0].Limit.Until, end-2*offsetError)
 	}
 }
 
