Close a connection when its client has everything

Cause: a connection was taken to be between requests, and half-closed, when gnet's output buffer was empty, while the answers lay in the kernel's send queue; 250 ms later it was closed whatever the client had received. The client's next bytes then met a closed socket, and the system answered with a reset and dropped the queue. The same close followed an error, a Terminate, an answer that broke off, an eviction and the idle timeout, and the idle time ran while a client was still receiving.

Change: a half-closed connection lingers until the client's system has confirmed everything (SIOCOUTQ) and the client has had the RejectionTimeout to close its side, at the latest for the LingerTimeout; bytes that come are dropped. A connection is idle only when its client has received everything. The shutdown waits for the last close as before.

--- a/internal/eventloop/socket.go
+++ b/internal/eventloop/socket.go
@@ -62,6 +62,24 @@
 	return err == nil && n > 0 && poll[0].Revents&hangUpEvents != 0
 }
 
+// Unacknowledged returns the number of bytes written to a connection that the system of the peer has not confirmed:
+// those in gnet's output buffer and those in the kernel's send queue. A close may lose all of them. After the sending
+// side has been shut down, the end of the connection counts as one byte. If the kernel does not report the size of its
+// queue, the queue counts as empty.
+func Unacknowledged(connection gnet.Conn) int {
+	return connection.OutboundBuffered() + SendQueue(connection.Fd())
+}
+
+// SendQueue returns the number of bytes in the kernel's send queue of a TCP socket, or 0 if the kernel does not report
+// it.
+func SendQueue(descriptor int) int {
+	queued, err := unix.IoctlGetInt(descriptor, unix.SIOCOUTQ)
+	if err != nil {
+		return 0
+	}
+	return queued
+}
+
 // SinceLastData returns the time since the kernel received the last bytes of a connection, whether or not they have
 // been read, in whole milliseconds. ok is false if the kernel does not report the time.
 func SinceLastData(connection gnet.Conn) (age time.Duration, ok bool) {
--- a/internal/frontend/admission.go
+++ b/internal/frontend/admission.go
@@ -158,7 +158,7 @@
 		if connection.place == placeStarting || connection.stage.isClosing() {
 			continue
 		}
-		if now-connection.lastUse >= timeout && connection.isIdle() {
+		if connection.isIdleFor(timeout, now) {
 			frontend.counters.Expired++
 			open--
 			connection.closeAfterFlush()
--- a/internal/frontend/close.go
+++ b/internal/frontend/close.go
@@ -40,10 +40,8 @@
 	}
 }
 
-// halfClose shuts down the sending side of the connection. The connection is closed when the client closes its side, or
-// after limits.RejectionTimeout. Until then, bytes from the client are read and dropped. A full close while bytes of
-// the client are unread or still arriving would send a reset, which can destroy a response that the client has not read
-// yet.
+// halfClose shuts down the sending side of the connection, and lingers until it can be closed without a loss. It is
+// called when gnet's output buffer is empty. Until the close, bytes from the client are read and dropped.
 func (connection *clientConnection) halfClose() {
 	if connection.stage >= stageHalfClosed {
 		return
@@ -52,9 +50,29 @@
 	connection.timeout.Stop()
 	// An error means that the client has closed the connection. The event loop or the timeout then closes it here too.
 	_ = unix.Shutdown(connection.socket.Fd(), unix.SHUT_WR)
+	connection.halfClosedAt = connection.frontend.core.Now()
+	connection.linger()
+}
+
+// linger closes the connection when the client has received everything and has had limits.RejectionTimeout to close its
+// side, or when limits.LingerTimeout is over. The client's own close ends the connection earlier. A close while bytes
+// of the client are unread or still arriving sends a reset, and the kernel then drops everything that the client has
+// not received.
+func (connection *clientConnection) linger() {
 	frontend := connection.frontend
-	deadline := frontend.core.Now() + frontend.limits.RejectionTimeout
-	connection.timeout = frontend.core.Wheel.Schedule(deadline, connection.closeNow)
+	now := frontend.core.Now()
+	end := connection.halfClosedAt + frontend.limits.LingerTimeout
+	if now >= end {
+		frontend.recordBadInput(textResponseUnread)
+		connection.closeNow()
+		return
+	}
+	if eventloop.Unacknowledged(connection.socket) > 0 {
+		next := min(now+recheckTicks*frontend.limits.TimerTick, end)
+		connection.timeout = frontend.core.Wheel.Schedule(next, connection.linger)
+		return
+	}
+	connection.timeout = frontend.core.Wheel.Schedule(now+frontend.limits.RejectionTimeout, connection.closeNow)
 }
 
 // closeNow closes the connection at once: Closed has been called when closeNow returns. It does nothing if the
--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -27,15 +27,18 @@
 
 	responses []*clientResponse // in command order; those that are not final or not written yet
 	arrivals  arrivals          // arrival times of the bytes that the session buffers
-	lastUse   time.Duration     // time of admission or of the last response
+	lastUse   time.Duration     // time of admission or of the last response, or later while isReceiving
 
-	timeout      *timerwheel.Timer // of the startup, of an incomplete message, or of the half-close
+	isReceiving bool // the client had not received everything when isIdle was last called
+
+	timeout      *timerwheel.Timer // of the startup or of an incomplete message; the next call of linger
 	partialSince time.Duration     // when the first bytes of the incomplete message were read
 	recheck      *timerwheel.Timer // set by recheckLater; nil otherwise
 
 	bufferedBytes   int           // the connection's part of Frontend.bufferedBytes, when enforceBounds last ran
 	unsentBytes     int           // in gnet's output buffer, when enforceBounds last ran
 	unsentChangedAt time.Duration // when unsentBytes last changed
+	halfClosedAt    time.Duration // when the sending side was shut down
 }
 
 // write writes to the client. All bytes for the client pass through it. Once the connection is closing it writes
@@ -48,13 +51,36 @@
 	_, _ = connection.socket.Write(data)
 }
 
-// isIdle reports whether the client is owed no response and has sent nothing that is not handled yet.
-func (connection *clientConnection) isIdle() bool {
+// hasNoRequest reports whether all responses have been written and the client has sent nothing that is not handled yet.
+// The client may not have received all of the responses.
+func (connection *clientConnection) hasNoRequest() bool {
 	return len(connection.responses) == 0 && connection.session.Buffered() == 0 &&
 		connection.socket.OutboundBuffered() == 0 && eventloop.HasNothingToRead(connection.socket)
 }
 
-// isBetweenRequests reports whether the connection has finished its startup and is idle.
+// isIdle reports whether the connection has no request and the client has received everything. While the client is
+// still receiving, isIdle restarts the idle time.
+func (connection *clientConnection) isIdle() bool {
+	connection.isReceiving = eventloop.Unacknowledged(connection.socket) > 0
+	if connection.isReceiving {
+		connection.lastUse = connection.frontend.core.Now()
+		return false
+	}
+	return connection.hasNoRequest()
+}
+
+// isIdleFor reports whether the connection has been idle for a time. It keeps the idle time of a client that is still
+// receiving up to date.
+func (connection *clientConnection) isIdleFor(span, now time.Duration) bool {
+	isDue := now-connection.lastUse >= span
+	if !isDue && !connection.isReceiving {
+		return false
+	}
+	return connection.isIdle() && isDue
+}
+
+// isBetweenRequests reports whether the connection has finished its startup and has no request. It may then be closed
+// by halfClose, which waits until the client has received everything.
 func (connection *clientConnection) isBetweenRequests() bool {
-	return connection.session.Started() && connection.isIdle()
+	return connection.session.Started() && connection.hasNoRequest()
 }
--- a/internal/frontend/state.go
+++ b/internal/frontend/state.go
@@ -27,8 +27,8 @@
 	stageLastCommand
 	// stageFlushing: the connection is half-closed as soon as all output has been sent. Nothing is added to the output.
 	stageFlushing
-	// stageHalfClosed: the sending side is shut down, and the client is expected to close its side. Bytes that arrive
-	// are read and dropped.
+	// stageHalfClosed: the sending side is shut down. The client receives what is left, and is expected to close its
+	// side; see linger. Bytes that arrive are read and dropped.
 	stageHalfClosed
 	// stageClosed: no bytes are written or read, and no timer runs.
 	stageClosed
--- a/internal/limits/constants.go
+++ b/internal/limits/constants.go
@@ -101,6 +101,8 @@
 	sendTimeout = 10 * time.Second
 	// rejectionTimeout is a guard.
 	rejectionTimeout = 250 * time.Millisecond
+	// lingerTimeout is that of a client that reads nothing.
+	lingerTimeout = sendTimeout
 	// flightSettleTimeout is a guard.
 	flightSettleTimeout = 50 * time.Millisecond
 )
--- a/internal/limits/frontend.go
+++ b/internal/limits/frontend.go
@@ -44,8 +44,11 @@
 	MessageTimeout time.Duration
 	// SendTimeout closes a connection whose client has unread answers and reads none of them for so long.
 	SendTimeout time.Duration
-	// RejectionTimeout is how long a connection whose end is sent may stay half-closed, for the client to read why.
+	// RejectionTimeout is how long a connection stays half-closed once its client has received everything, for the
+	// client to close its side.
 	RejectionTimeout time.Duration
+	// LingerTimeout is how long a half-closed connection may wait for its client to receive everything.
+	LingerTimeout time.Duration
 	// TimerTick is the resolution of timers.
 	TimerTick time.Duration
 	// LogInterval is the least time between two log lines about one kind of bad input.
@@ -73,6 +76,7 @@
 		MessageTimeout:       messageTimeout,
 		SendTimeout:          sendTimeout,
 		RejectionTimeout:     rejectionTimeout,
+		LingerTimeout:        lingerTimeout,
 		TimerTick:            timerTick,
 		LogInterval:          logInterval,
 	}
--- a/internal/limits/names_test.go
+++ b/internal/limits/names_test.go
@@ -38,6 +38,7 @@
 	"Frontend.MessageTimeout":       "ClientSlowest",
 	"Frontend.SendTimeout":          "ClientReads",
 	"Frontend.RejectionTimeout":     "ClientLeaving",
+	"Frontend.LingerTimeout":        "ClientReads",
 	"Frontend.TimerTick":            "Tick",
 	"Frontend.LogInterval":          "LogEvery",
 
--- a/internal/testbed/client.go
+++ b/internal/testbed/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -171,6 +172,15 @@
 	return pg.Reply{}, false, nil
 }
 
+// Rest reads everything behind the last reply, up to the end of the connection.
+func (c *Client) Rest() ([]byte, error) {
+	if err := c.SetReadDeadline(time.Now().Add(Timeout)); err != nil {
+		return nil, err
+	}
+	rest, err := io.ReadAll(c.Conn)
+	return append(c.unread, rest...), err
+}
+
 // Ask sends a statement and reads its reply.
 func (c *Client) Ask(sql string) pg.Reply {
 	c.t.Helper()
