Close a Flight SQL client's connection when it has everything

Seen (own test): gRPC closes a client's connection a second after its last answer at a shutdown, and at once at other ends. A client that has not received all by then, and whose system sends anything, such as a window update, gets a reset and loses the rest.

Cause: as on the PostgreSQL front, the close did not ask whether the client had received what was written.

Change: clientSocket.Close, through which every close of gRPC passes, shuts down the sending side and lingers until the client is gone, or has received everything and has had time to close its side, within the LingerTimeout. It blocks, so that GracefulStop, and with it the shutdown, waits for it.

--- a/internal/flight/clientsocket.go
+++ b/internal/flight/clientsocket.go
@@ -19,6 +19,10 @@
 	raw     syscall.RawConn
 	sockets *clientSockets // that it is removed from when it closes
 
+	lingerTimes lingerTimes
+	closing     sync.Once
+	closeErr    error // of the close; set by closing
+
 	mu      sync.Mutex // locked over each read, so that reading and the kernel's buffer are seen together
 	reading readState
 }
@@ -91,12 +95,6 @@
 	return n, nil
 }
 
-// Close closes the connection.
-func (socket *clientSocket) Close() error {
-	socket.sockets.byAddress.CompareAndDelete(socket.RemoteAddr().String(), socket)
-	return socket.TCPConn.Close()
-}
-
 // state reports whether the client has closed the connection, and whether all else that came on it has been handled.
 func (socket *clientSocket) state() (state clientState) {
 	socket.mu.Lock()
--- a/internal/flight/frontend.go
+++ b/internal/flight/frontend.go
@@ -105,7 +105,8 @@
 func (front *Front) Serve(listener net.Listener) error {
 	failures := netretry.NewFailures("flight: accept", front.limits.LogInterval, front.log, front.core.Now)
 	retrying := netretry.NewListener(listener, netretry.NewBackoff(front.limits.Retry), failures)
-	observed := socketListener{Listener: retrying, sockets: &front.sockets}
+	lingers := lingerTimes{total: front.limits.LingerTimeout, afterReceived: front.limits.CloseTimeout}
+	observed := socketListener{Listener: retrying, sockets: &front.sockets, lingerTimes: lingers}
 	return front.server.Serve(netutil.LimitListener(observed, front.limits.MaxClientConnections))
 }
 
--- a/internal/flight/listener.go
+++ b/internal/flight/listener.go
@@ -46,7 +46,8 @@
 // socketListener notes the connections that it accepts.
 type socketListener struct {
 	net.Listener
-	sockets *clientSockets
+	sockets     *clientSockets
+	lingerTimes lingerTimes
 }
 
 // Accept implements net.Listener.
@@ -63,7 +64,7 @@
 	if err != nil {
 		return accepted, nil
 	}
-	socket := &clientSocket{TCPConn: tcp, raw: raw, sockets: listener.sockets}
+	socket := &clientSocket{TCPConn: tcp, raw: raw, sockets: listener.sockets, lingerTimes: listener.lingerTimes}
 	listener.sockets.byAddress.Store(tcp.RemoteAddr().String(), socket)
 	return socket, nil
 }
--- a/internal/limits/flight.go
+++ b/internal/limits/flight.go
@@ -19,6 +19,10 @@
 	ConnectTimeout time.Duration
 	// SettleTimeout is how long a call waits for what its client has already sent, such as its cancellation.
 	SettleTimeout time.Duration
+	// LingerTimeout is how long the close of a client's connection may wait for the client to receive everything.
+	LingerTimeout time.Duration
+	// CloseTimeout is how long it waits then for the client to close its side.
+	CloseTimeout time.Duration
 	// LogInterval is the least time between two log lines about one kind of failure.
 	LogInterval time.Duration
 	// Retry is the backoff of accepts and dials.
@@ -34,6 +38,8 @@
 		StartupTimeout:         startupTimeout,
 		ConnectTimeout:         timeouts.Connect,
 		SettleTimeout:          flightSettleTimeout,
+		LingerTimeout:          lingerTimeout,
+		CloseTimeout:           rejectionTimeout,
 		LogInterval:            logInterval,
 		Retry:                  retry(),
 	}
--- a/internal/limits/names_test.go
+++ b/internal/limits/names_test.go
@@ -63,6 +63,8 @@
 	"Flight.StartupTimeout":         "Startup",
 	"Flight.ConnectTimeout":         "ConnectTimeout",
 	"Flight.SettleTimeout":          "FlightSettle",
+	"Flight.LingerTimeout":          "ClientReads",
+	"Flight.CloseTimeout":           "ClientLeaving",
 	"Flight.LogInterval":            "LogEvery",
 	"Flight.Retry.FirstBackoff":     "RetryFirst",
 	"Flight.Retry.MaxBackoff":       "RetryMost",
