--- a/internal/pg/link.go
+++ b/internal/pg/link.go
@@ -6,7 +6,7 @@
 // query may be in flight at a time. It is not safe for concurrent use.
 type Link struct {
 	input        framer
-	streamAbove  int // message length above which a row is streamed instead of buffered, in bytes
+	streamAbove  int // length of a value above which its row is streamed instead of buffered, in bytes
 	maxValue     int // maximum length of a value, in bytes
 	state        linkState
 	reply        Reply  // the part of the current reply that has arrived
@@ -14,12 +14,20 @@
 	piece        []byte // bytes of the streamed row that Piece has not returned yet
 }
 
-// NewLink returns a link that buffers messages of up to maxMessage bytes, streams rows of more than streamAbove bytes
-// and accepts values of up to maxValue bytes.
+// NewLink returns a link that buffers messages of up to maxMessage bytes, streams rows with a value of more than
+// streamAbove bytes and accepts values of up to maxValue bytes. A row that does not fit into maxMessage is streamed
+// too.
 func NewLink(maxMessage, streamAbove, maxValue int) *Link {
-	return &Link{input: framer{limit: maxMessage}, streamAbove: min(streamAbove, maxMessage), maxValue: maxValue}
+	return &Link{
+		input:       framer{limit: maxMessage},
+		streamAbove: min(streamAbove, maxMessage-rowOverhead),
+		maxValue:    maxValue,
+	}
 }
 
+// rowOverhead is the part of the length of a DataRow with one column that is not its value, in bytes.
+const rowOverhead = lengthBytes + rowBodyBytes
+
 // TakeStreamedBytes returns the bytes of a streamed row that have arrived since the last call, nil if there are none.
 // The first piece begins with the messages that precede the row in the reply. The caller owns the bytes.
 func (l *Link) TakeStreamedBytes() []byte {
@@ -99,7 +107,7 @@
 		return 0, false
 	}
 	length = int64(binary.BigEndian.Uint32(header[typeBytes:]))
-	return length, length > int64(l.streamAbove)
+	return length, length-rowOverhead > int64(l.streamAbove)
 }
 
 // beginStreaming checks the header of a long row and the length of its value, and begins to stream the row. length is
@@ -109,7 +117,7 @@
 	if _, allowed := l.state.after(backendDataRow); !allowed {
 		return needsBytes, ErrUnexpectedMessage
 	}
-	valueLength := length - lengthBytes - rowBodyBytes
+	valueLength := length - rowOverhead
 	if valueLength > int64(l.maxValue) { // a peer must not send a row without end
 		return needsBytes, ErrMessageTooLong
 	}
--- a/internal/pg/link_test.go
+++ b/internal/pg/link_test.go
@@ -11,7 +11,7 @@
 // Limits of the links in tests, in bytes.
 const (
 	linkLimit   = 128
-	linkWhole   = 64  // greatest length of a row that is not streamed
+	linkWhole   = 54  // greatest length of a value whose row is not streamed
 	linkLongest = 400 // greatest length of a value
 )
 
@@ -190,7 +190,7 @@
 	"result during startup":      {starting, described, ErrUnexpectedMessage},
 	"complete during startup":    {starting, completed, ErrUnexpectedMessage},
 	"empty query during startup": {starting, packet('I', ""), ErrUnexpectedMessage},
-	"long row during startup":    {starting, row(strings.Repeat("x", linkWhole)), ErrUnexpectedMessage},
+	"long row during startup":    {starting, row(strings.Repeat("x", linkWhole+1)), ErrUnexpectedMessage},
 	"authentication requested":   {starting, packet('R', "\x00\x00\x00\x03"), ErrAuthenticationRequested},
 	"authentication cut short":   {starting, packet('R', "\x00\x00\x00"), ErrAuthenticationRequested},
 	"authentication again":       {started, authenticated, ErrAuthenticationRequested},
@@ -248,8 +248,8 @@
 		started, described + row(strings.Repeat("x", 54)) + packet('C', strings.Repeat("x", 34)+"\x00"),
 		ErrMessageTooLong,
 	},
-	"long row without description": {started, row(strings.Repeat("x", linkWhole)), ErrUnexpectedMessage},
-	"long row after an error":      {started, failed + row(strings.Repeat("x", linkWhole)), ErrUnexpectedMessage},
+	"long row without description": {started, row(strings.Repeat("x", linkWhole+1)), ErrUnexpectedMessage},
+	"long row after an error":      {started, failed + row(strings.Repeat("x", linkWhole+1)), ErrUnexpectedMessage},
 	"long row over the longest": {
 		started, described + row(strings.Repeat("x", linkLongest+1)), ErrMessageTooLong,
 	},
@@ -324,8 +324,8 @@
 		value    string
 		streamed bool
 	}{
-		"longest that is buffered":  {strings.Repeat("x", linkWhole-10), false},
-		"shortest that is streamed": {strings.Repeat("x", linkWhole-9), true},
+		"longest that is buffered":  {strings.Repeat("x", linkWhole), false},
+		"shortest that is streamed": {strings.Repeat("x", linkWhole+1), true},
 		"over the message limit":    {strings.Repeat("x", linkLimit+1), true},
 		"longest":                   {strings.Repeat("x", linkLongest), true},
 	}
--- a/internal/testbed/behaviour.go
+++ b/internal/testbed/behaviour.go
@@ -28,13 +28,18 @@
 	streamEndlessly   behaviour = "endless" // on Flight: until the pooler ends it
 	answerLong        behaviour = "long"    // on the PostgreSQL wire: answer with Long
 	breakHalfway      behaviour = "torn"    // on the PostgreSQL wire: close the connection in the middle of Long
+	breakOrdinary     behaviour = "snapped" // on the PostgreSQL wire: close the connection in the middle of Ordinary
+	stopHalfway       behaviour = "stalled" // on the PostgreSQL wire: send half of Ordinary and nothing more
 )
 
 // delayedTicket is a word, beside the behaviours, which delays a statement's Flight ticket until Release is called.
 const delayedTicket = "ticket"
 
-// Long is the value of a long answer: 4 MiB.
-var Long = strings.Repeat("0123456789abcdef", 4<<20/16)
+// Long is the value of a long answer: 4 MiB. Ordinary is one of the greatest length that the protocol has: 64 KiB.
+var (
+	Long     = strings.Repeat("0123456789abcdef", 4<<20/16)
+	Ordinary = Long[:64<<10]
+)
 
 // corruptions make a malformed answer of a good one, on the PostgreSQL wire.
 var corruptions = map[behaviour]func(good []byte) []byte{
@@ -52,7 +57,7 @@
 // behaviours are all but serve, in the order in which a statement is searched for them.
 var behaviours = append(slices.Sorted(maps.Keys(corruptions)),
 	rejectOverloaded, failStatement, rejectReadOnly, closeConnection, stopAfterBatch, serveAfterRelease, neverAnswer,
-	streamEndlessly, rejectUnusable, answerLong, breakHalfway)
+	streamEndlessly, rejectUnusable, answerLong, breakHalfway, breakOrdinary, stopHalfway)
 
 // writing finds statements that write, whatever their label says, with their ID.
 var writing = regexp.MustCompile(`(?i)(?:nextval|insert into|delete from).*id=([^,]*)`)
--- a/internal/testbed/database_postgres.go
+++ b/internal/testbed/database_postgres.go
@@ -92,9 +92,12 @@
 	switch does {
 	case closeConnection:
 		return connectionEnded
-	case breakHalfway:
+	case breakHalfway, breakOrdinary:
 		c.send(reply[:len(reply)/2])
 		return connectionEnded
+	case stopHalfway:
+		c.send(reply[:len(reply)/2])
+		return connectionOpen
 	case serveAfterRelease:
 		<-c.database.released
 	}
@@ -132,6 +135,8 @@
 		return nil, does
 	case answerLong, breakHalfway:
 		value = Long
+	case breakOrdinary, stopHalfway:
+		value = Ordinary
 	}
 	good := pg.AppendValue(d.appendParameters(nil), value)
 	if corrupt := corruptions[does]; corrupt != nil {
