Slow a client down that sends too far ahead

Cause: enforceBounds closed a connection whose input passed MaxInputBytes, because gnet cannot stop reading a connection.

Change: a client that is 2 MiB ahead is removed from gnet (eventloop.Pause), so that its bytes wait in the kernel and TCP slows it down, and handed to gnet again when its next answer can be written. One that leaves answers unread cannot be paused, as gnet's output buffer would be lost; it is closed at twice the bound.

--- a/internal/eventloop/socket.go
+++ b/internal/eventloop/socket.go
@@ -47,9 +47,12 @@
 
 // IsClosedByPeer reports whether the peer has closed or reset a connection, even if earlier bytes of the peer are still
 // unread. It returns false if the peek or the poll is interrupted; the loop then learns of the close a little later.
-func IsClosedByPeer(connection gnet.Conn) bool {
+func IsClosedByPeer(connection gnet.Conn) bool { return isClosedByPeer(connection.Fd()) }
+
+// isClosedByPeer is IsClosedByPeer for a descriptor.
+func isClosedByPeer(descriptor int) bool {
 	var peeked [1]byte
-	n, _, err := unix.Recvfrom(connection.Fd(), peeked[:], peekFlags)
+	n, _, err := unix.Recvfrom(descriptor, peeked[:], peekFlags)
 	switch {
 	case errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EINTR):
 		return false
@@ -57,7 +60,7 @@
 		return true
 	}
 	// A peek does not show a close that follows unread bytes; poll does.
-	poll := []unix.PollFd{{Fd: int32(connection.Fd()), Events: unix.POLLRDHUP}}
+	poll := []unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLRDHUP}}
 	n, err = unix.Poll(poll, 0)
 	return err == nil && n > 0 && poll[0].Revents&hangUpEvents != 0
 }
--- a/internal/frontend/bounds.go
+++ b/internal/frontend/bounds.go
@@ -3,12 +3,16 @@
 // recheckTicks is the delay, in timer ticks, after which recheckLater serves a connection again.
 const recheckTicks = 2
 
-// enforceBounds closes the connection if its client does not read its responses, or sends too many bytes ahead of them.
+// hardInputFactor determines when a client that is not paused, since it leaves responses unread, is closed for what it
+// sends ahead: when it has sent hardInputFactor * MaxInputBytes.
+const hardInputFactor = 2
+
+// enforceBounds closes the connection if its client does not read its responses, or sends on without reading them.
 // While the buffers of all connections together are too large, enforceBounds also closes the connection with the
 // largest buffers, which may be this one.
 func (connection *clientConnection) enforceBounds() {
 	frontend := connection.frontend
-	unsent, unparsed := connection.socket.OutboundBuffered(), connection.session.Buffered()
+	unsent, unparsed := connection.outputBuffered(), connection.session.Buffered()
 	connection.setBufferedBytes(unsent + unparsed)
 	frontend.enforceTotalBuffered()
 	if connection.stage == stageClosed {
@@ -19,7 +23,8 @@
 		connection.unsentBytes, connection.unsentChangedAt = unsent, now
 	}
 	hasStalled := unsent > 0 && now-connection.unsentChangedAt > frontend.limits.SendTimeout
-	buffersTooMuch := unsent > frontend.limits.MaxOutputBytes || unparsed > frontend.limits.MaxInputBytes
+	buffersTooMuch := unsent > frontend.limits.MaxOutputBytes ||
+		unparsed > hardInputFactor*frontend.limits.MaxInputBytes
 	switch {
 	case hasStalled:
 		frontend.recordBadInput(textResponseUnread)
--- a/internal/frontend/close.go
+++ b/internal/frontend/close.go
@@ -33,9 +33,12 @@
 // would drop the buffered output. Until then, enforceBounds closes the connection if the client does not read.
 func (connection *clientConnection) closeAfterFlush() {
 	connection.advanceTo(stageFlushing)
-	if connection.socket.OutboundBuffered() == 0 {
+	switch {
+	case connection.flow != flowReading:
+		connection.serveUnread()
+	case connection.outputBuffered() == 0:
 		connection.halfClose()
-	} else {
+	default:
 		connection.enforceBounds()
 	}
 }
@@ -78,7 +81,12 @@
 // closeNow closes the connection at once: Closed has been called when closeNow returns. It does nothing if the
 // connection is closed already.
 func (connection *clientConnection) closeNow() {
-	if connection.stage != stageClosed {
+	switch {
+	case connection.stage == stageClosed:
+	case connection.flow != flowReading:
+		connection.paused.Close()
+		connection.Closed(nil)
+	default:
 		eventloop.CloseNow(connection.socket)
 	}
 }
--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -13,17 +13,21 @@
 // clientConnection is one connection of a client. It implements eventloop.Socket.
 type clientConnection struct {
 	frontend *Frontend
-	number   uint64 // from 1, in the order of admission; 0 if it was rejected
-	socket   gnet.Conn
+	number   uint64    // from 1, in the order of admission; 0 if it was rejected
+	socket   gnet.Conn // not to be used unless flow is flowReading
 	session  *pg.Session
 
 	// The state of the connection, in fields that are independent of each other.
 	place        place
 	stage        closeStage
 	input        inputState
+	flow         inputFlow
 	drain        drainRule
 	sentBadInput bool // the connection may be evicted without having been idle
 	serving      bool // serve is running and must not be entered recursively
+	isAhead      bool // the client has sent too far ahead of its responses; see updateAhead
+
+	paused *eventloop.Paused // nil if flow is flowReading
 
 	responses []*clientResponse // in command order; those that are not final or not written yet
 	arrivals  arrivals          // arrival times of the bytes that the session buffers
@@ -55,12 +59,23 @@
 // The client may not have received all of the responses.
 func (connection *clientConnection) hasNoRequest() bool {
 	return len(connection.responses) == 0 && connection.session.Buffered() == 0 &&
-		connection.socket.OutboundBuffered() == 0 && eventloop.HasNothingToRead(connection.socket)
+		connection.outputBuffered() == 0 && eventloop.HasNothingToRead(connection.socket)
+}
+
+// outputBuffered returns the number of bytes in gnet's output buffer.
+func (connection *clientConnection) outputBuffered() int {
+	if connection.flow != flowReading {
+		return 0
+	}
+	return connection.socket.OutboundBuffered()
 }
 
 // isIdle reports whether the connection has no request and the client has received everything. While the client is
 // still receiving, isIdle restarts the idle time.
 func (connection *clientConnection) isIdle() bool {
+	if connection.flow != flowReading {
+		return false
+	}
 	connection.isReceiving = eventloop.Unacknowledged(connection.socket) > 0
 	if connection.isReceiving {
 		connection.lastUse = connection.frontend.core.Now()
--- a/internal/frontend/counters.go
+++ b/internal/frontend/counters.go
@@ -10,6 +10,7 @@
 	Closed    int64 `json:"Closed"`     // connections that have been closed by either side, including rejected ones
 	Commands  int64 `json:"Commands"`   // commands that were read
 	BadInputs int64 `json:"Bad"`        // rejected commands, and connections rejected or closed for bad input
+	Paused    int64 `json:"Paused"`     // pauses in the reading of clients that had sent too far ahead
 
 	// Requests whose responses were dropped behind one that broke off, by what is known of them.
 	DroppedAnswered int64 `json:"DroppedAnswered"` // answered, and the answer was not written
@@ -43,13 +44,23 @@
 	textMessageUnfinished  = "the message is not finished in time"
 )
 
+// textPauseFailed names the log lines of recordPauseFailure for mayLog.
+const textPauseFailed = "pause failed"
+
 // recordBadInput counts bad input, and logs each reason at most once per limits.LogInterval.
 func (frontend *Frontend) recordBadInput(reason string) {
 	frontend.counters.BadInputs++
+	if frontend.mayLog(reason) {
+		frontend.log.Warn().Str("why", reason).Int64("so_far", frontend.counters.BadInputs).Msg("frontend: bad input")
+	}
+}
+
+// mayLog reports whether a line may be logged for a reason now. It permits one per limits.LogInterval.
+func (frontend *Frontend) mayLog(reason string) bool {
 	now := frontend.core.Now()
-	if last, logged := frontend.badInputLogged[reason]; logged && now-last < frontend.limits.LogInterval {
-		return
+	if last, logged := frontend.lastLogged[reason]; logged && now-last < frontend.limits.LogInterval {
+		return false
 	}
-	frontend.badInputLogged[reason] = now
-	frontend.log.Warn().Str("why", reason).Int64("so_far", frontend.counters.BadInputs).Msg("frontend: bad input")
+	frontend.lastLogged[reason] = now
+	return true
 }
--- a/internal/frontend/drain.go
+++ b/internal/frontend/drain.go
@@ -17,7 +17,7 @@
 // connections in their startup and closing ones, only unsent output counts.
 func (frontend *Frontend) AllAnswered() bool {
 	for connection := range frontend.table.entries {
-		if connection.socket.OutboundBuffered() > 0 {
+		if connection.outputBuffered() > 0 {
 			return false
 		}
 		if connection.stage.isClosing() || !connection.session.Started() {
@@ -49,7 +49,7 @@
 	connection.serve()
 	switch {
 	case connection.stage.isClosing():
-	case connection.socket.OutboundBuffered() > 0 || !eventloop.HasNothingToRead(connection.socket):
+	case !connection.hasNothingToHandle():
 		// Unread requests are rejected when they are read, and flush then closes the connection.
 		connection.allowDrain()
 		connection.recheckLater()
@@ -58,6 +58,12 @@
 	}
 }
 
+// hasNothingToHandle reports whether the client has taken all output and sent nothing that is not read yet.
+func (connection *clientConnection) hasNothingToHandle() bool {
+	return connection.flow == flowReading && connection.outputBuffered() == 0 &&
+		eventloop.HasNothingToRead(connection.socket)
+}
+
 // mayDrain reports whether the connection is to be closed as soon as it is between requests.
 func (connection *clientConnection) mayDrain() bool {
 	return connection.frontend.draining && connection.drain == drainBetweenRequests
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -25,8 +25,8 @@
 	backend  intake.PostgresBackend
 	observer TrafficObserver // may be nil
 
-	counters       Counters
-	badInputLogged map[string]time.Duration // when each reason of bad input was last logged
+	counters   Counters
+	lastLogged map[string]time.Duration // when each reason was last logged
 
 	table          connectionTable
 	lastConnection uint64 // number of the connection admitted last
@@ -49,14 +49,14 @@
 	backend intake.PostgresBackend, observer TrafficObserver,
 ) *Frontend {
 	frontend := &Frontend{
-		limits:         bounds,
-		log:            log,
-		core:           requests,
-		intake:         statements,
-		backend:        backend,
-		observer:       observer,
-		badInputLogged: map[string]time.Duration{},
-		table:          newConnectionTable(),
+		limits:     bounds,
+		log:        log,
+		core:       requests,
+		intake:     statements,
+		backend:    backend,
+		observer:   observer,
+		lastLogged: map[string]time.Duration{},
+		table:      newConnectionTable(),
 	}
 	frontend.closeIdle()
 	return frontend
--- a/internal/frontend/read.go
+++ b/internal/frontend/read.go
@@ -28,6 +28,7 @@
 	connection.arrivals.record(len(data), arrivedAt, arrivalResolutionTicks*frontend.limits.TimerTick)
 	connection.markReceived()
 	connection.serve()
+	connection.pauseIfAhead()
 }
 
 // timeInKernel returns how long the bytes being received have waited in the kernel. The first bytes of a connection may
@@ -52,6 +53,10 @@
 // serve reads as many commands as the pipeline has room for, and writes the responses that are next in order. It is
 // called when bytes have arrived, when a response is complete, and when gnet may have sent more of its output buffer.
 func (connection *clientConnection) serve() {
+	if connection.flow != flowReading {
+		connection.serveUnread()
+		return
+	}
 	if connection.serving { // a command that is answered during its submission calls serve again
 		return
 	}
@@ -78,7 +83,7 @@
 // leavesTooMuchUnread reports whether the client must read more of its responses before further commands are read.
 func (connection *clientConnection) leavesTooMuchUnread() bool {
 	maxUnread := connection.frontend.limits.MaxOutputBytes / pauseReadingDivisor
-	return connection.socket.OutboundBuffered() > maxUnread
+	return connection.outputBuffered() > maxUnread
 }
 
 // readCommands handles commands until the pipeline is full, a command ends the connection, or the next message is
--- a/internal/frontend/response.go
+++ b/internal/frontend/response.go
@@ -109,7 +109,14 @@
 // HasLeft implements core.DepartureDetector. It reports whether the client has closed its connection, even if the event
 // loop has not read the close yet.
 func (response *clientResponse) HasLeft() bool {
-	return response.connection.stage == stageClosed || eventloop.IsClosedByPeer(response.connection.socket)
+	connection := response.connection
+	switch {
+	case connection.stage == stageClosed:
+		return true
+	case connection.flow != flowReading:
+		return connection.paused.IsClosedByPeer()
+	}
+	return eventloop.IsClosedByPeer(connection.socket)
 }
 
 // complete sets the final state of the response and the rest of its bytes. If the response is next in order, it is
@@ -135,6 +142,10 @@
 	if connection.stage.isClosing() {
 		return
 	}
+	if connection.flow != flowReading {
+		connection.serveUnread()
+		return
+	}
 	output, isLast := connection.takeOutput()
 	if len(output) > 0 {
 		connection.lastUse = connection.frontend.core.Now()
--- a/internal/frontend/state.go
+++ b/internal/frontend/state.go
@@ -106,6 +106,32 @@
 // markPartial records that a message is incomplete.
 func (connection *clientConnection) markPartial() { connection.input = inputPartial }
 
+// inputFlow is whether the client's bytes are read. While they are not, nothing is written either, and the connection
+// is neither idle nor between requests: bytes of the client wait for their turn.
+type inputFlow uint8
+
+const (
+	// flowReading: the event loop serves the connection.
+	flowReading inputFlow = iota
+	// flowPaused: the client's bytes wait in the kernel, since it has sent too far ahead of its responses.
+	flowPaused
+	// flowResuming: like flowPaused, but the event loop is about to serve the connection again.
+	flowResuming
+)
+
+// String implements fmt.Stringer.
+func (flow inputFlow) String() string {
+	switch flow {
+	case flowReading:
+		return "reading"
+	case flowPaused:
+		return "paused"
+	case flowResuming:
+		return "resuming"
+	}
+	return fmt.Sprintf("inputFlow(%d)", uint8(flow))
+}
+
 // drainRule determines when a draining frontend may close a connection.
 type drainRule uint8
 
--- a/internal/frontend/state_test.go
+++ b/internal/frontend/state_test.go
@@ -13,6 +13,7 @@
 		"place":         {placeNone, placeStarting, placeStarted, placeLingering},
 		"closeStage":    {stageOpen, stageLastCommand, stageFlushing, stageHalfClosed, stageClosed},
 		"inputState":    {inputNone, inputComplete, inputPartial},
+		"inputFlow":     {flowReading, flowPaused, flowResuming},
 		"drainRule":     {drainBetweenRequests, drainAfterQuery},
 		"responseState": {responsePending, responseStreaming, responseComplete, responseLast},
 	} {
@@ -28,6 +29,7 @@
 	require.Equal(t, "closeStage(9)", closeStage(9).String())
 	require.Equal(t, "place(9)", place(9).String())
 	require.Equal(t, "inputState(9)", inputState(9).String())
+	require.Equal(t, "inputFlow(9)", inputFlow(9).String())
 	require.Equal(t, "drainRule(9)", drainRule(9).String())
 	require.Equal(t, "responseState(9)", responseState(9).String())
 }
--- a/internal/frontend/streaming.go
+++ b/internal/frontend/streaming.go
@@ -26,7 +26,7 @@
 func (connection *clientConnection) hasRoomForPiece() bool {
 	limits := &connection.frontend.limits
 	return connection.stage != stageClosed &&
-		connection.socket.OutboundBuffered() <= limits.StreamChunkBytes &&
+		connection.flow == flowReading && connection.outputBuffered() <= limits.StreamChunkBytes &&
 		connection.frontend.bufferedBytes <= limits.MaxBufferedBytes/streamBuffersDivisor
 }
 
--- a/internal/limits/frontend.go
+++ b/internal/limits/frontend.go
@@ -20,7 +20,8 @@
 
 	// MaxMessageBytes is the length of a message, in bytes. Messages are buffered until they are complete.
 	MaxMessageBytes int
-	// MaxInputBytes is how many bytes a client may send ahead of its answers. One that sends more is closed.
+	// MaxInputBytes is how many bytes a client may send ahead of its answers. One that sends more is not read for a
+	// while.
 	MaxInputBytes int
 	// MaxOutputBytes is how many bytes of answers a client may leave unread. One that leaves more is closed.
 	MaxOutputBytes int
--- a/internal/testbed/log.go
+++ b/internal/testbed/log.go
@@ -19,7 +19,7 @@
 		Size                                                           float64
 		ClockAhead, ClockDissent, ClockMoves                           int
 	}
-	Front struct{ Expired, TurnedAway int }
+	Front struct{ Expired, TurnedAway, Paused int }
 	Takes int // descriptors that it may have open, if others may run beside it
 }
 
