Judge statements by when the kernel received them

TestFaultSchedulesCauseNoViolation cannot tell a statement that was written too late from one that the stand-in read late; TestDrainWaitsFor- BothProcessesOfUpgrade does not say which answer the client got.

Change: the stand-in database takes the time of a statement from the kernel (TCP_INFO), on the PostgreSQL wire; the second test prints the answer. No check is changed.

--- a/internal/maintenance/agent/restarts_test.go
+++ b/internal/maintenance/agent/restarts_test.go
@@ -120,8 +120,9 @@
 		return slices.Equal(poolers.status("n0").MissingReports, []string{"n3+"})
 	}, "the new process alone has not reported")
 	poolers.release()
-	for _, client := range clients {
-		require.True(t, client.Next().Complete)
+	for i, client := range clients {
+		reply := client.Next()
+		require.True(t, reply.Complete, "client %d of %d: %s %s", i, len(clients), reply.Code, reply.Message)
 	}
 	poolers.awaitState("n0", "db-1", maintenance.Drained)
 	require.NoError(t, end())
--- a/internal/testbed/behaviour.go
+++ b/internal/testbed/behaviour.go
@@ -62,11 +62,11 @@
 // writing finds statements that write, whatever their label says, with their ID.
 var writing = regexp.MustCompile(`(?i)(?:nextval|insert into|delete from).*id=([^,]*)`)
 
-// receive records a statement and returns what to do with it.
-func (d *Database) receive(sql string) behaviour {
+// receive records a statement and the time of its arrival, and returns what to do with it.
+func (d *Database) receive(sql string, at time.Time) behaviour {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.statements = append(d.statements, receivedStatement{sql, time.Now()})
+	d.statements = append(d.statements, receivedStatement{sql, at})
 	if match := writing.FindStringSubmatch(sql); match != nil {
 		if !d.primary.Load() {
 			d.misrouted++
--- a/internal/testbed/database_flight.go
+++ b/internal/testbed/database_flight.go
@@ -4,6 +4,7 @@
 	"context"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/apache/arrow-go/v18/arrow"
 	"github.com/apache/arrow-go/v18/arrow/array"
@@ -71,7 +72,7 @@
 	if err := grpc.SetTrailer(ctx, trailer); err != nil {
 		return serve, err
 	}
-	does := database.receive(sql)
+	does := database.receive(sql, time.Now())
 	switch does {
 	case rejectOverloaded:
 		return does, wire.Rejection(0)
--- a/internal/testbed/database_postgres.go
+++ b/internal/testbed/database_postgres.go
@@ -4,6 +4,9 @@
 	"fmt"
 	"net"
 	"strconv"
+	"time"
+
+	"golang.org/x/sys/unix"
 
 	"capercove/internal/pg"
 )
@@ -35,7 +38,8 @@
 	net.Conn
 	database   *Database
 	session    *pg.Session
-	unanswered bool // the last statement is not going to be answered
+	arrivedAt  time.Time // when the kernel received the last bytes that were read
+	unanswered bool      // the last statement is not going to be answered
 }
 
 // connectionState says whether a connection is read any further.
@@ -58,6 +62,7 @@
 			}
 			return
 		}
+		c.arrivedAt = time.Now().Add(-c.sinceLastData())
 		if c.database.isFrozen() {
 			continue
 		}
@@ -68,6 +73,27 @@
 	}
 }
 
+// sinceLastData returns how long ago the kernel received the last bytes of the connection, in whole milliseconds. A
+// busy machine may read them much later. It returns 0 if the kernel does not report the time.
+func (c *postgresConnection) sinceLastData() (age time.Duration) {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return 0
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	// A connection that is closed has no such time.
+	_ = raw.Control(func(descriptor uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err == nil {
+			age = time.Duration(info.Last_data_recv) * time.Millisecond
+		}
+	})
+	return age
+}
+
 // handleCommands handles the commands that are complete.
 func (c *postgresConnection) handleCommands() connectionState {
 	for {
@@ -87,7 +113,7 @@
 }
 
 func (c *postgresConnection) handleQuery(sql string) connectionState {
-	reply, does := c.database.reply(sql)
+	reply, does := c.database.reply(sql, c.arrivedAt)
 	c.unanswered = does == neverAnswer
 	switch does {
 	case closeConnection:
@@ -114,13 +140,13 @@
 	d.handshakes++
 }
 
-// reply returns the answer to a statement, and the behaviour that the caller has to show.
-func (d *Database) reply(sql string) ([]byte, behaviour) {
+// reply returns the answer to a statement that arrived at a time, and the behaviour that the caller has to show.
+func (d *Database) reply(sql string, at time.Time) ([]byte, behaviour) {
 	if sql == probeQuery {
 		return d.probeReply(), serve
 	}
 	d.occupyCore(sql)
-	does := d.receive(sql)
+	does := d.receive(sql, at)
 	value := "from " + d.ID
 	switch does {
 	case rejectOverloaded:
