Hold the bound on connections in their startup

Seen (by reading, now by test): with MaxStarting connections in their startup and none that may be evicted, one more is admitted; where a started connection is idle, that one is evicted, and the bound is passed too.

Cause: makeRoom had room unless the table was full, and evict chose among all connections.

Change: at MaxStarting only connections in their startup may give way, and if none may, the new one is rejected, as at a full table.

The other bounds of limits have no such test yet.

--- a/internal/frontend/admission.go
+++ b/internal/frontend/admission.go
@@ -36,19 +36,25 @@
 	return connection
 }
 
-// makeRoom reports whether the table has room for one more connection. If the table is full, or too many of its
-// connections are in their startup, makeRoom evicts the connection that has been idle for the longest. If no connection
-// may be evicted, there is still room unless the table is full.
+// makeRoom reports whether there is room for one more connection. If too many connections are in their startup, it
+// evicts the one of them that has been idle for the longest; if the table is full, it evicts any connection. If no
+// connection may be evicted, there is no room.
 func (frontend *Frontend) makeRoom() bool {
-	isFull := frontend.table.size() >= frontend.limits.MaxConnections
-	manyStarting := frontend.table.starting >= frontend.limits.MaxStarting
-	if !isFull && !manyStarting {
-		return true
+	switch {
+	case frontend.table.starting >= frontend.limits.MaxStarting:
+		return frontend.evict((*clientConnection).isStarting)
+	case frontend.table.size() >= frontend.limits.MaxConnections:
+		return frontend.evict((*clientConnection).isAny)
 	}
-	evicted := frontend.evict()
-	return evicted || !isFull
+	return true
 }
 
+// isStarting reports whether the connection is in its startup.
+func (connection *clientConnection) isStarting() bool { return connection.place == placeStarting }
+
+// isAny is true for each connection.
+func (*clientConnection) isAny() bool { return true }
+
 // LimitConnections sets the maximum size of the table to its present size plus more, but at most to
 // bounds.MaxConnections.
 func (frontend *Frontend) LimitConnections(bounds limits.Frontend, more int) {
@@ -93,11 +99,11 @@
 	return frontend.table.lingering < frontend.limits.MaxRejecting
 }
 
-// evict closes the connection that has been idle for the longest, and reports whether there was one to evict. Without
-// eviction, clients that send one request and stay connected, or connect and send nothing, would fill the table and
-// block all new clients.
-func (frontend *Frontend) evict() bool {
-	oldest := frontend.longestIdle()
+// evict closes, among the candidates, the connection that has been idle for the longest, and reports whether there was
+// one to evict. Without eviction, clients that send one request and stay connected, or connect and send nothing, would
+// fill the table and block all new clients.
+func (frontend *Frontend) evict(isCandidate func(*clientConnection) bool) bool {
+	oldest := frontend.longestIdle(isCandidate)
 	if oldest == nil {
 		return false
 	}
@@ -111,13 +117,13 @@
 	return true
 }
 
-// longestIdle returns, among the connections that may be evicted, the one that has been idle for the longest. It
-// returns nil if no connection may be evicted.
-func (frontend *Frontend) longestIdle() *clientConnection {
+// longestIdle returns, among the candidates that may be evicted, the one that has been idle for the longest. It returns
+// nil if none may be evicted.
+func (frontend *Frontend) longestIdle(isCandidate func(*clientConnection) bool) *clientConnection {
 	now := frontend.core.Now()
 	var oldest *clientConnection
 	for connection := range frontend.table.entries {
-		if now-connection.lastUse < frontend.minIdleToEvict(connection) {
+		if !isCandidate(connection) || now-connection.lastUse < frontend.minIdleToEvict(connection) {
 			continue
 		}
 		isOlder := oldest == nil || connection.lastUse < oldest.lastUse
@@ -130,7 +136,7 @@
 
 // minIdleToEvict returns how long a connection must have been idle before it may be evicted.
 func (frontend *Frontend) minIdleToEvict(connection *clientConnection) time.Duration {
-	isStarting := connection.place == placeStarting
+	isStarting := connection.isStarting()
 	manyStarting := frontend.table.starting > frontend.limits.MaxStarting/manyStartingDivisor
 	switch {
 	case connection.stage.isClosing(), connection.sentBadInput, isStarting && manyStarting:
