Say what is known of a request that the router does not answer

Cause: failOverdue and AnswerAll looked at whether there had been attempts, not at what they had ended with; the core kept that only for requests under admission control.

Change: the core keeps for each request whether an attempt that has ended may have run. rejectOrFail rejects a request of which that is not so and no attempt is in flight.

--- a/internal/core/admission.go
+++ b/internal/core/admission.go
@@ -112,6 +112,7 @@
 	if request.CostObserver != nil {
 		c.observeCost(attempt, status, took)
 	}
+	request.mayHaveRun = request.mayHaveRun || !status.NeverRan()
 	if request.admission != admitted {
 		return
 	}
@@ -121,7 +122,6 @@
 	if status == routing.NodeOverloaded {
 		c.pushAdmission(admission.Event{Kind: admission.Overloaded, Request: uint64(request.id)})
 	}
-	request.mayHaveRun = request.mayHaveRun || !status.NeverRan()
 }
 
 // reportNoCapacity notifies the admission controller that the databases had no capacity for a request, if the request
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -72,7 +72,7 @@
 
 	admission    admissionState
 	admittedAt   time.Duration // on the core's clock
-	mayHaveRun   bool          // one of its attempts may have run
+	mayHaveRun   bool          // an attempt that has ended may have run; see neverRan
 	lastDuration time.Duration // of the last attempt that was answered or timed out
 }
 
@@ -134,18 +134,31 @@
 	request.overdueTimer = c.Wheel.Schedule(request.deadline+c.limits.OverdueTimeout, func() { c.failOverdue(request) })
 }
 
-// failOverdue fails a request that has no answer by OverdueTimeout after its deadline. It guarantees that every request
-// is answered, even if the router or a backend has a fault.
+// failOverdue ends a request that has no answer by OverdueTimeout after its deadline. It guarantees that every request
+// is answered, even if the event loop stalls, or the router or a backend has a fault.
 func (c *Core) failOverdue(request *Request) {
 	if request.done {
 		return
 	}
 	c.counters.Overdue++
 	c.log.Error().Uint64("request", uint64(request.id)).Msg("request: no answer by the deadline")
-	c.fail(request, DeadlineExceeded)
+	c.rejectOrFail(request, DeadlineExceeded)
 	c.pushEvent(routing.Event{Kind: routing.ClientGone, Request: request.id})
 }
 
+// rejectOrFail ends a request without asking the router. The request is rejected if it is known that none of its
+// attempts ran, since another pooler may serve it; otherwise it fails.
+func (c *Core) rejectOrFail(request *Request, why Failure) {
+	if request.neverRan() {
+		c.reject(request, 0)
+	} else {
+		c.fail(request, why)
+	}
+}
+
+// neverRan reports whether it is known that no attempt of the request ran or will run.
+func (request *Request) neverRan() bool { return !request.mayHaveRun && request.inFlight == 0 }
+
 // forwardToRouter queues a request for the router's next Step. The caller must request the Flush.
 func (c *Core) forwardToRouter(request *Request, timeLeft time.Duration) {
 	c.pending.Enter(request.id)
@@ -184,7 +197,7 @@
 }
 
 // AnswerAll answers all open requests, which would be lost when the program exits, and rejects requests that are
-// submitted later. A request that was never sent is rejected, since another pooler may serve it; the others fail.
+// submitted later.
 func (c *Core) AnswerAll() {
 	c.closed = true
 	for _, request := range c.requests {
@@ -192,11 +205,7 @@
 			continue
 		}
 		routerKnows := request.admission != queuedForAdmission
-		if len(request.attempts) == 0 {
-			c.reject(request, 0)
-		} else {
-			c.fail(request, ConnectionBroke)
-		}
+		c.rejectOrFail(request, ConnectionBroke)
 		if routerKnows {
 			c.pushEvent(routing.Event{Kind: routing.ClientGone, Request: request.id})
 		}
