Bound the linger of rejected connections, and end a check of writes in time

Evidence: TestRejectedConnectionDoesNotLingerForItsClient fails without the first part. The second has no test: the check runs 10 ms after the statement was sent whole, which a test cannot hold open.

--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -129,6 +129,7 @@
 	at := min(pool.core.Now()+writeRecheckTicks*pool.limits.TimerTick, job.attempt.WriteLimit.Until)
 	job.timer = pool.core.Wheel.Schedule(at, func() {
 		switch {
+		case connection.state != stateAwaitingAnswer: // an answer is being streamed, so the whole statement was sent
 		case connection.notifyWritten():
 		case pool.core.MaySend(job.attempt):
 			connection.recheckWriteLater(job)
--- a/internal/frontend/close.go
+++ b/internal/frontend/close.go
@@ -1,6 +1,8 @@
 package frontend
 
 import (
+	"time"
+
 	"golang.org/x/sys/unix"
 
 	"capercove/internal/eventloop"
@@ -58,13 +60,13 @@
 }
 
 // linger closes the connection when the client has received everything and has had limits.RejectionTimeout to close its
-// side, or when limits.LingerTimeout is over. The client's own close ends the connection earlier. A close while bytes
+// side, or when lingerLimit is over. The client's own close ends the connection earlier. A close while bytes
 // of the client are unread or still arriving sends a reset, and the kernel then drops everything that the client has
 // not received.
 func (connection *clientConnection) linger() {
 	frontend := connection.frontend
 	now := frontend.core.Now()
-	end := connection.halfClosedAt + frontend.limits.LingerTimeout
+	end := connection.halfClosedAt + connection.lingerLimit()
 	if now >= end {
 		frontend.recordBadInput(textResponseUnread)
 		connection.closeNow()
@@ -78,6 +80,15 @@
 	connection.timeout = frontend.core.Wheel.Schedule(now+frontend.limits.RejectionTimeout, connection.closeNow)
 }
 
+// lingerLimit returns how long the connection may wait for the client to receive everything. Few connections may linger
+// outside the table, and their clients are owed no answer but an error.
+func (connection *clientConnection) lingerLimit() time.Duration {
+	if connection.place == placeLingering {
+		return connection.frontend.limits.RejectionTimeout
+	}
+	return connection.frontend.limits.LingerTimeout
+}
+
 // closeNow closes the connection at once: Closed has been called when closeNow returns. It does nothing if the
 // connection is closed already.
 func (connection *clientConnection) closeNow() {
--- a/internal/frontend/linger_test.go
+++ b/internal/frontend/linger_test.go
@@ -74,6 +74,15 @@
 	require.EqualValues(t, 1, harness.frontend.Counters().Expired)
 }
 
+// A rejected connection is owed no answer, and few of them may linger: its client's delay is bounded by the
+// RejectionTimeout alone.
+func TestRejectedConnectionDoesNotLingerForItsClient(t *testing.T) {
+	harness := newHarness(t, func(bounds *limits.Frontend) { bounds.MaxConnections = 0 })
+	socket := harness.connect(func(socket *fakeSocket) { socket.queue(t, unreceived) })
+	harness.pass(harness.limits.RejectionTimeout + 20*time.Millisecond)
+	require.Equal(t, 1, socket.closed)
+}
+
 // Sizes in bytes: of the values of valueDatabase, and of the receive buffer of a slow client, which is a small part of
 // what the client is owed. The program's send buffer holds the rest.
 const (
