Count a refused command as applied only for its reason

Seen (by reading): after an attempt with an unknown outcome, the tests of maintenance's agent took any refusal of the repeated command for a proof that the first one was applied.

Change: only a refusal that the applied command explains counts: an abort that meets an aborting plan or none, an end that meets a machine that is back or done, or no plan. All other commands have to succeed. The check is stricter, and has a table test.

What TestTwoPlansAtOnce, TestTelemetry, TestReplaceMember and TestDiskFull let pass stays open.

--- a/internal/maintenance/agent/fleet_test.go
+++ b/internal/maintenance/agent/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -113,7 +114,7 @@
 
 // runUntilAnswered runs a command, and repeats it while there is no majority or no answer: such a run changes nothing.
 // It also repeats a command whose outcome is unknown, because the leader may change on a busy machine. If the repeated
-// command is then refused, the earlier run was applied. The status is 0 in this case, and the caller checks the effect.
+// command is then refused as one that has been applied, the status is 0, and the caller checks the effect.
 func (f *fleet) runUntilAnswered(at string, arguments ...string) (printed string, status int) {
 	f.T.Helper()
 	unknown := false
@@ -125,12 +126,51 @@
 		}
 		return status != exitNoAnswer && !strings.Contains(printed, noMajorityText)
 	}, "the record has a leader")
-	if unknown && status == exitNotPossible {
+	if unknown && status == exitNotPossible && isRefusedAsApplied(printed, arguments...) {
 		status = 0
 	}
 	return printed, status
 }
 
+// isRefusedAsApplied reports whether the reason for which a command was refused is what the same command leaves behind
+// once it has been applied.
+func isRefusedAsApplied(printed string, arguments ...string) bool {
+	var reasons []string
+	switch maintenance.Command(arguments[0]) {
+	case maintenance.AbortPlan:
+		reasons = []string{"there is no plan", fmt.Sprintf("the plan is %s", maintenance.Aborting)}
+	case maintenance.EndWork:
+		reasons = []string{"there is no plan"}
+		for _, state := range []maintenance.State{maintenance.Recovering, maintenance.Done} {
+			reasons = append(reasons, fmt.Sprintf("%s is %s", arguments[1], state))
+		}
+	}
+	return slices.ContainsFunc(reasons, func(reason string) bool { return strings.Contains(printed, reason) })
+}
+
+// After an unknown outcome, only a refusal that the applied command explains counts as success.
+func TestRefusalCountsAsAppliedByItsReason(t *testing.T) {
+	for _, test := range []struct {
+		command, printed string
+		applied          bool
+	}{
+		{"abort", "the plan is aborting", true},
+		{"abort", "there is no plan", true},
+		{"abort", "the plan is paused", false},
+		{"end db-1", "db-1 is back", true},
+		{"end db-1", "db-1 is done", true},
+		{"end db-1", "db-1 is waiting", false},
+		{"end db-1", "db-1 is agreed", false},
+		{"end db-1", "db-2 is done", false},
+		{"end db-1", "the plan has no machine", false},
+		{"skip db-1", "db-1 is done", false},
+		{"pause", "the plan is paused", false},
+	} {
+		applied := isRefusedAsApplied("works: "+test.printed, strings.Fields(test.command)...)
+		require.Equal(t, test.applied, applied, "%s: %s", test.command, test.printed)
+	}
+}
+
 // execute runs a command that must succeed.
 func (f *fleet) execute(at string, arguments ...string) (printed string) {
 	f.T.Helper()
