Slow clients down that fill the buffers together

Seen (own test): eight clients that send 2.9 MB ahead each pass a common bound of 6 MiB, and the one that holds most is closed; its requests are lost.

Cause: only the bound of one client slowed it down; the common bound closed a connection.

Change: while the buffers hold more than half of their bound, a client may send one message ahead. A client is paused only while it waits for a response, as else nothing but further bytes could continue an incomplete message.

--- a/internal/frontend/backpressure.go
+++ b/internal/frontend/backpressure.go
@@ -9,13 +9,25 @@
 )
 
 // lowMarkDivisor determines when a client that was paused is read again: when no more than
-// MaxInputBytes / lowMarkDivisor bytes of it wait for their turn.
+// maxInputBytes / lowMarkDivisor bytes of it wait for their turn.
 const lowMarkDivisor = 2
 
+// pressureDivisor determines when clients may send less ahead: when the buffers of all clients together hold more than
+// MaxBufferedBytes / pressureDivisor.
+const pressureDivisor = 2
+
+// maxInputBytes returns how many bytes a client may send ahead of its responses: a message in any case.
+func (frontend *Frontend) maxInputBytes() int {
+	if frontend.bufferedBytes > frontend.limits.MaxBufferedBytes/pressureDivisor {
+		return frontend.limits.MaxMessageBytes
+	}
+	return frontend.limits.MaxInputBytes
+}
+
 // pauseIfAhead stops reading a client that has sent too far ahead of its responses. The pause begins on the next
 // iteration of the event loop, because gnet still uses a connection whose bytes it is delivering.
 func (connection *clientConnection) pauseIfAhead() {
-	if connection.stage != stageOpen || !connection.updateAhead() {
+	if !connection.mayPause() {
 		return
 	}
 	// It fails only when the event loop ends.
@@ -27,7 +39,7 @@
 
 // updateAhead reports whether the client has sent too far ahead. Once it has, that holds down to the low mark.
 func (connection *clientConnection) updateAhead() bool {
-	limit := connection.frontend.limits.MaxInputBytes
+	limit := connection.frontend.maxInputBytes()
 	switch unparsed := connection.session.Buffered(); {
 	case unparsed > limit:
 		connection.isAhead = true
@@ -37,11 +49,18 @@
 	return connection.isAhead
 }
 
+// mayPause reports whether the client is too far ahead, and waits for a response: without one, only further bytes of
+// the client could continue an incomplete message.
+func (connection *clientConnection) mayPause() bool {
+	isReading := connection.stage == stageOpen && connection.flow == flowReading
+	waits := len(connection.responses) >= connection.frontend.limits.MaxPipelined
+	return isReading && waits && connection.updateAhead()
+}
+
 // pause stops reading a client that is still too far ahead. A client that leaves responses unread cannot be paused:
 // enforceBounds closes it if it sends on.
 func (connection *clientConnection) pause() {
-	isReading := connection.stage == stageOpen && connection.flow == flowReading
-	if !isReading || !connection.updateAhead() || connection.outputBuffered() > 0 {
+	if !connection.mayPause() || connection.outputBuffered() > 0 {
 		return
 	}
 	paused, err := eventloop.Pause(connection.socket)
