Free the addresses of contract tests at once

Cause: freeAddress listens and closes again, and a child that a parallel test has forked has a copy of the listening socket until it executes its program. startPooler retries a program that cannot bind, but not the test's own listener of inheritListener.

Change: the socket is shut down before its close, which frees the address whoever has a copy, as package addresses does; contract tests import no package of the project.

--- a/internal/contract/addresses_test.go
+++ b/internal/contract/addresses_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net"
 	"os"
+	"os/exec"
+	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -29,6 +31,7 @@
 		address := fmt.Sprintf("127.%d.%d.%d:%d", 1+pid/62500%120, pid/250%250, 1+pid%250, port)
 		listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", address)
 		if err == nil {
+			stopListening(t, listener)
 			require.NoError(t, listener.Close())
 			return address
 		}
@@ -43,3 +46,34 @@
 	require.NoError(t, err)
 	return listener
 }
+
+// stopListening frees a listener's address at once. A close alone does not: a child that another test has just forked
+// has a copy of the socket until it executes its program.
+func stopListening(t *testing.T, listener net.Listener) {
+	t.Helper()
+	raw, err := listener.(*net.TCPListener).SyscallConn()
+	require.NoError(t, err)
+	require.NoError(t, raw.Control(func(descriptor uintptr) { _ = unix.Shutdown(int(descriptor), unix.SHUT_RD) }))
+}
+
+// Guards against an address that is still in use when a test listens on it, as children are forked meanwhile.
+func TestFreeAddressIsFreeWhileChildrenAreForked(t *testing.T) {
+	const rounds, forkers = 500, 4
+	var finished atomic.Bool
+	var group sync.WaitGroup
+	for range forkers {
+		group.Go(func() {
+			for !finished.Load() {
+				_ = exec.CommandContext(t.Context(), "/bin/true").Run() // only the fork matters
+			}
+		})
+	}
+	defer group.Wait()
+	defer finished.Store(true)
+	for range rounds {
+		listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", freeAddress(t))
+		require.NoError(t, err)
+		stopListening(t, listener)
+		require.NoError(t, listener.Close())
+	}
+}
