Let the long answer of a paused client go on

Cause: a client that is 2 MiB ahead is read again when its next response has bytes to write. A streamed answer has none while its next piece waits to be requested, and it was requested only while the client was read: the answer stood still until its StreamTimeout.

Change: a stream that waits for its next piece counts as output, and the piece is requested when the client is read again. serveUnread does nothing for a closed connection, whose descriptor may be another's by then (by reading; no path to it was found).

Evidence: TestLongAnswerOfPausedClientGoesOn fails without the change (no answer for 20 s) and passes with it, as do the other tests of pauses, twice each.

--- a/internal/frontend/backpressure.go
+++ b/internal/frontend/backpressure.go
@@ -77,6 +77,8 @@
 // written, or that is closing, is read again; a client that has left is dropped.
 func (connection *clientConnection) serveUnread() {
 	switch {
+	case connection.stage == stageClosed: // its descriptor may belong to another connection by now
+		return
 	case connection.paused.IsClosedByPeer():
 		connection.closeNow()
 	case connection.flow == flowPaused && (connection.stage.isClosing() || connection.hasOutput()):
@@ -85,13 +87,13 @@
 	connection.recheckLater()
 }
 
-// hasOutput reports whether bytes can be written, or commands read.
+// hasOutput reports whether bytes can be written or requested, or commands read.
 func (connection *clientConnection) hasOutput() bool {
 	if len(connection.responses) == 0 {
 		return true
 	}
 	next := connection.responses[0]
-	return next.state.isFinal() || len(next.bytes) > 0
+	return next.state.isFinal() || len(next.bytes) > 0 || connection.isStreamPaused()
 }
 
 // resume begins to read the client again.
@@ -126,6 +128,9 @@
 		return
 	}
 	connection.serve()
+	if connection.stage != stageClosed {
+		connection.resumeStreaming()
+	}
 	connection.pause()
 }
 
--- a/internal/frontend/backpressure_test.go
+++ b/internal/frontend/backpressure_test.go
@@ -26,13 +26,16 @@
 	sent chan error // receives the result when all commands have been sent
 }
 
-// newEagerClient starts a client that sends a number of commands, of which the primary holds the first. It returns when
-// the program has paused the client.
-func newEagerClient(bed *testbed.Bed, count int) *eagerClient {
+// newEagerClient starts a client that sends a number of commands, of which the primary holds the first. Further
+// statements may follow the first one. It returns when the program has paused the client.
+func newEagerClient(bed *testbed.Bed, count int, second ...string) *eagerClient {
 	bed.T.Helper()
 	client := &eagerClient{Client: bed.Client(), sent: make(chan error, 1)}
 	paused := bed.Counters(func(testbed.Counters) bool { return true }).Front.Paused
 	client.Send(testbed.Query(bed.Statement("write", "hold", 4*testbed.Timeout)))
+	for _, statement := range second {
+		client.Send(testbed.Query(statement))
+	}
 	commands := make([][]byte, count-1)
 	for i := range commands {
 		key := strings.Repeat("x", commandBytes)
@@ -71,6 +74,20 @@
 	require.Empty(t, bed.Line("frontend: bad input"))
 }
 
+// Guards against a long answer that never goes on, since its client is not read meanwhile: each piece is requested and
+// written all the same, and what the client sent behind it is answered.
+func TestLongAnswerOfPausedClientGoesOn(t *testing.T) {
+	bed := testbed.Start(t)
+	client := newEagerClient(bed, fewCommands, bed.Statement("report", "long", 4*testbed.Timeout))
+	bed.Databases[0].Release()
+	require.Equal(t, "from db-0", string(client.Next().Value))
+	require.True(t, testbed.Long == string(client.Next().Value), "the long answer")
+	for range fewCommands - 1 {
+		require.Equal(t, "from db-0", string(client.Next().Value))
+	}
+	require.NoError(t, <-client.sent)
+}
+
 // A client that is not read closes its connection: its requests are cancelled, and none of what it has sent is
 // forwarded any more.
 func TestDepartureOfPausedClientIsNoticed(t *testing.T) {
