--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"regexp"
 	"strings"
@@ -58,6 +59,12 @@
 		os.Exit(cannot)
 	}
 	time.AfterFunc(100*time.Second, func() { w.giveUp("the case took too long") })
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-interrupted
+		w.giveUp("interrupted")
+	}()
 	w.note("case %s, trouble %v", os.Args[1], w.trouble)
 	cases[os.Args[1]](w)
 	w.finish()
