Judge by each attempt whether a request may have run

Cause: the router kept one flag for a request, with the time and node of the first attempt. When the last pending attempt never ran and was the first one sent, attemptDone cleared the flag for the request, though the second attempt may have run. In the other order the flag stayed, though neither ran. Ruled out: the core's own rejections (Request.neverRan counts each attempt that ends) and the sessions' writes (counted attempt by attempt). Change: each attempt has its own fact; whether, where and until when a request may be repeated is derived from all its attempts.

--- a/routing/attempts.go
+++ b/routing/attempts.go
@@ -25,6 +25,7 @@
 	endedAt    time.Duration
 	loadAtSend float64 // estimated in-flight requests of the node when the attempt was sent
 	pending    bool
+	mayHaveRun bool // it is pending, or it ended without proof that the node did not run the request
 	lost       bool // no longer counted as in flight
 }
 
@@ -34,13 +35,43 @@
 	if request.done || len(request.attempts) >= request.maxAttempts || request.pending > 0 && !r.settings.CanHedge {
 		return false
 	}
+	return request.mayRepeatAt(node, r.now)
+}
+
+// mayRepeatAt reports whether one more attempt at the node is harmless, given the attempts that may have run.
+func (request *openRequest) mayRepeatAt(node *nodeRecord, now time.Duration) bool {
 	class := request.class
-	if !request.mayHaveRun || class.Effect == Idempotent {
+	if class.Effect == Idempotent || !request.mayHaveRun() {
 		return true
 	}
-	return class.Effect == Deduplicated &&
-		r.now < request.repeatableUntil() &&
-		(class.DedupGroup != DedupZone || node.Zone == request.dedupNode.Zone)
+	return class.Effect == Deduplicated && now < request.repeatableUntil() && request.sharesKeys(node)
+}
+
+// mayHaveRun reports whether any attempt of the request is pending or ended without proof that it never ran.
+func (request *openRequest) mayHaveRun() bool { return request.firstUncertain() != nil }
+
+// firstUncertain returns the earliest attempt that may have run, or nil if it is known that none did.
+func (request *openRequest) firstUncertain() *attemptRecord {
+	for i := range request.attempts {
+		if attempt := &request.attempts[i]; attempt.mayHaveRun {
+			return attempt
+		}
+	}
+	return nil
+}
+
+// sharesKeys reports whether the node shares idempotency keys with the node of each attempt that may have run.
+func (request *openRequest) sharesKeys(node *nodeRecord) bool {
+	if request.class.DedupGroup != DedupZone {
+		return true // all nodes of the request's replica group do
+	}
+	for i := range request.attempts {
+		attempt := &request.attempts[i]
+		if attempt.mayHaveRun && attempt.node.Zone != node.Zone {
+			return false
+		}
+	}
+	return true
 }
 
 // eligible reports whether the request may be sent to the node, given the node's state and health and the request's
@@ -65,14 +96,12 @@
 func (r *Router) send(request *openRequest, node *nodeRecord) {
 	limit := r.writeLimit(request, node)
 	node.slowStart.Sent(r.now, r.settings.OverloadWindow, r.slowStartWork(request))
-	if !request.mayHaveRun {
-		request.mayHaveRun, request.firstSentAt, request.dedupNode = true, r.now, node
-	}
 	request.attempts = append(request.attempts, attemptRecord{
 		node:       node,
 		sentAt:     r.now,
 		loadAtSend: r.estimatedInFlight(node),
 		pending:    true,
+		mayHaveRun: true,
 	})
 	request.pending++
 	r.addInFlight(node, 1)
@@ -101,10 +130,6 @@
 	if request.pending > 0 {
 		return nil
 	}
-	isFirst := request.dedupNode == attempt.node && request.firstSentAt == attempt.sentAt
-	if outcome.Status.NeverRan() && isFirst {
-		request.mayHaveRun, request.dedupNode = false, nil
-	}
 	if !r.mayRetry(request, outcome.Status) {
 		r.rejectOrFail(request)
 		return nil
@@ -116,6 +141,7 @@
 func (r *Router) endAttempt(request *openRequest, attempt *attemptRecord, outcome *Outcome) {
 	status := outcome.Status
 	attempt.pending, attempt.endedAt = false, r.now
+	attempt.mayHaveRun = !status.NeverRan()
 	request.pending--
 	if status != ConnectFailed && status != ConnectRefused && status != NotSent {
 		request.waitUntil = request.deadline
@@ -142,7 +168,7 @@
 	if overloaded && r.retryBudget < 1 {
 		return false
 	}
-	if request.mayHaveRun && request.class.Effect == NonIdempotent || r.now >= request.deadline {
+	if request.mayHaveRun() && request.class.Effect == NonIdempotent || r.now >= request.deadline {
 		return false
 	}
 	if overloaded {
--- a/routing/property_test.go
+++ b/routing/property_test.go
@@ -11,9 +11,11 @@
 
 // trackedAttempt is an attempt that the router sent.
 type trackedAttempt struct {
-	node    NodeID
-	sentAt  time.Duration
-	pending bool
+	node       NodeID
+	sentAt     time.Duration
+	limit      WriteLimit
+	pending    bool
+	mayHaveRun bool // it is pending, or its outcome does not prove that it never ran
 }
 
 // trackedRequest is a request that was passed to the router.
@@ -22,7 +24,6 @@
 	deadline       time.Duration
 	minPosition    time.Duration // the position that a read must see; 0: any
 	attempts       []trackedAttempt
-	mayHaveRun     bool // an attempt ended with an outcome that does not prove that it never ran
 	done           bool
 	disconnectedAt time.Duration // when the client disconnected
 }
@@ -37,6 +38,16 @@
 	return count
 }
 
+// uncertain returns the attempts that may have run.
+func (r *trackedRequest) uncertain() (attempts []trackedAttempt) {
+	for _, attempt := range r.attempts {
+		if attempt.mayHaveRun {
+			attempts = append(attempts, attempt)
+		}
+	}
+	return attempts
+}
+
 // randomEnvironment passes random events to a router and checks its actions against the rules that can be observed from
 // outside. The events follow no model of a server: outcomes, lists and failures are random.
 type randomEnvironment struct {
@@ -75,6 +86,11 @@
 	if rng.IntN(2) == 0 {
 		settings.Quotas = []float64{5}
 	}
+	for i := range settings.Classes {
+		class := &settings.Classes[i]
+		class.Effect, class.DedupGroup = Effect(rng.IntN(3)), DedupGroup(rng.IntN(3))
+		class.DedupWindow = time.Duration(50+rng.IntN(1000)) * ms
+	}
 	return settings
 }
 
@@ -83,11 +99,14 @@
 	return time.Duration(e.rng.Int64N(int64(limit)))
 }
 
+// zoneOf returns the zone of a node.
+func zoneOf(id NodeID) int { return int(id) % 3 }
+
 // list returns a random endpoint list and records which nodes are draining or gone in it.
 func (e *randomEnvironment) list() []Node {
 	var nodes []Node
 	for id := NodeID(1); id <= 8; id++ {
-		node := Node{ID: id, Group: int(id) % 2, State: Ready, Primary: id <= 2, Zone: int(id) % 3}
+		node := Node{ID: id, Group: int(id) % 2, State: Ready, Primary: id <= 2, Zone: zoneOf(id)}
 		switch e.rng.IntN(12) {
 		case 0:
 			node.State = Draining
@@ -205,7 +224,7 @@
 		outcome.Status = TimedOut
 	}
 	attempt.pending = false
-	request.mayHaveRun = request.mayHaveRun || !outcome.Status.NeverRan()
+	attempt.mayHaveRun = !outcome.Status.NeverRan()
 	outcome.Final = request.done || outcome.Status == OK
 	request.done = outcome.Final
 	switch outcome.AnswerEvidence.Role {
@@ -271,21 +290,26 @@
 	}
 	if action.Kind == Send {
 		e.checkSend(action, request)
-		request.attempts = append(request.attempts, trackedAttempt{action.Node, e.now, true})
+		request.attempts = append(request.attempts, trackedAttempt{action.Node, e.now, action.Limit, true, true})
 		return
 	}
 	request.done = true
-	mayHaveRun := request.mayHaveRun || request.pending() > 0
-	if action.Kind == Reject && request.class.Effect != Idempotent && mayHaveRun {
-		require.Failf(e.t, "rejection of a request that may have run and is not idempotent", "%+v", action)
+	clientMayRepeat := request.class.Effect == Idempotent ||
+		request.class.Effect == Deduplicated && request.class.DedupGroup == DedupAll
+	mayHaveRun := len(request.uncertain()) > 0
+	if action.Kind == Reject && mayHaveRun && !clientMayRepeat {
+		require.Failf(e.t, "rejection of a request that may have run and must not be repeated", "%+v", action)
+	}
+	if action.Kind == Fail && !mayHaveRun {
+		require.Failf(e.t, "failure of a request that never ran", "%+v", action)
 	}
 }
 
 // checkSend checks that an attempt of the request may be sent to the action's node.
 func (e *randomEnvironment) checkSend(action Action, request *trackedRequest) {
 	pending := request.pending()
-	if request.class.Effect == NonIdempotent && (request.mayHaveRun || pending > 0) {
-		require.Failf(e.t, "repeated send of a non-idempotent request that may have run", "%+v", action)
+	for _, attempt := range request.uncertain() {
+		e.checkRepeat(action, request.class, attempt)
 	}
 	if pending > 0 && !e.settings.CanHedge || len(request.attempts) >= e.settings.MaxAttempts {
 		require.Failf(e.t, "send beyond the limit of attempts", "%+v", action)
@@ -302,6 +326,22 @@
 	}
 }
 
+// checkRepeat checks that an attempt may be sent after an earlier one that may have run.
+func (e *randomEnvironment) checkRepeat(action Action, class Class, earlier trackedAttempt) {
+	switch class.Effect {
+	case NonIdempotent:
+		require.Failf(e.t, "repeated send of a non-idempotent request that may have run", "%+v", action)
+	case Deduplicated:
+		windowEnd := earlier.sentAt + class.DedupWindow
+		if e.now >= windowEnd || action.Limit.Until == 0 || action.Limit.Until > windowEnd {
+			require.Failf(e.t, "repeat that may be written after its window", "%+v, window until %v", action, windowEnd)
+		}
+		if class.DedupGroup == DedupZone && zoneOf(action.Node) != zoneOf(earlier.node) {
+			require.Failf(e.t, "repeat in another zone", "%+v, after %+v", action, earlier)
+		}
+	}
+}
+
 // isFresh reports whether a replica with the given position may answer the request.
 func (e *randomEnvironment) isFresh(request *trackedRequest, position time.Duration) bool {
 	switch request.class.Read {
--- a/routing/requests.go
+++ b/routing/requests.go
@@ -39,10 +39,6 @@
 	pending         int // number of pending attempts
 	probesTriggered int // number of probes sent for this request
 
-	mayHaveRun  bool          // an attempt is pending or ended without proof that it never ran
-	firstSentAt time.Duration // when the first such attempt was sent
-	dedupNode   *nodeRecord   // the node of that attempt
-
 	done      bool // the client has its answer or is gone
 	streaming bool // a long answer is being streamed to the client
 }
@@ -170,7 +166,7 @@
 func (r *Router) rejectOrFail(request *openRequest) {
 	class := request.class
 	deduplicated := class.Effect == Deduplicated && class.DedupGroup == DedupAll
-	if class.Effect == Idempotent || !request.mayHaveRun || deduplicated {
+	if class.Effect == Idempotent || !request.mayHaveRun() || deduplicated {
 		retryAfter := min(class.LatencyObjective, r.settings.MaxRetryAfter)
 		r.emit(Action{Kind: Reject, Request: request.id, Delay: retryAfter})
 	} else {
--- a/routing/writelimit.go
+++ b/routing/writelimit.go
@@ -42,17 +42,15 @@
 // connection, and what it was decided on may change meanwhile.
 func (r *Router) writeLimit(request *openRequest, node *nodeRecord) (limit WriteLimit) {
 	limit = limit.And(WriteLimit{r.freshUntil(node, request), ProvenFresh})
-	if request.mayHaveRun {
-		limit = limit.And(WriteLimit{request.repeatableUntil(), Repeatable})
-	}
-	return limit
+	return limit.And(WriteLimit{request.repeatableUntil(), Repeatable})
 }
 
 // repeatableUntil returns the router's time from which a repeat of the request would be executed again, or 0 if there
 // is no such time.
 func (request *openRequest) repeatableUntil() time.Duration {
-	if request.class.Effect != Deduplicated {
+	first := request.firstUncertain()
+	if request.class.Effect != Deduplicated || first == nil {
 		return 0
 	}
-	return request.firstSentAt + request.class.DedupWindow
+	return first.sentAt + request.class.DedupWindow
 }
