Limit when the first attempt of a hedged read may be written

A keyed read whose first attempt waits for a connection, while the second one runs, may be written after the second one's window, and runs again. Cause: routing.writeLimit looks back alone: the first attempt has no limit but its deadline. Change: the first attempt of a read that may be hedged, of a deduplicated class, must be written within the window too. Writes are never hedged and have no new limit.

--- a/routing/attempts.go
+++ b/routing/attempts.go
@@ -209,9 +209,14 @@
 	r.addInFlight(attempt.node, -1)
 }
 
+// mayHedge reports whether a request may have two pending attempts.
+func (r *Router) mayHedge(request *openRequest) bool {
+	return r.settings.CanHedge && request.class.Read != Write
+}
+
 // hedge sends a second attempt of a read to another replica that is below its bound, if the retry budget allows it.
 func (r *Router) hedge(request *openRequest) {
-	if request.class.Read == Write || request.pending > 1 || r.retryBudget < 1 {
+	if !r.mayHedge(request) || request.pending > 1 || r.retryBudget < 1 {
 		return
 	}
 	found := r.nextReplica(request.group, r.primary(request.group), request)
--- a/routing/property_test.go
+++ b/routing/property_test.go
@@ -339,6 +339,11 @@
 		if class.DedupGroup == DedupZone && zoneOf(action.Node) != zoneOf(earlier.node) {
 			require.Failf(e.t, "repeat in another zone", "%+v, after %+v", action, earlier)
 		}
+		latestWrite := earlier.limit.Until
+		if earlier.pending && (latestWrite == 0 || latestWrite > e.now+class.DedupWindow) {
+			require.Failf(e.t, "earlier attempt may be written after the window of this one",
+				"%+v, after %+v", action, earlier)
+		}
 	}
 }
 
--- a/routing/repeats_test.go
+++ b/routing/repeats_test.go
@@ -75,7 +75,9 @@
 	mayHaveRun := []Status{NodeError, TimedOut, ConnectionBroken, Cancelled}
 	neverRan := []Status{NodeOverloaded, ConnectFailed, NotSent, NodeRejected, ConnectRefused}
 	finalAnswers := map[DedupGroup]ActionKind{
-		DedupAll: Reject, DedupZone: Fail, DedupReplicaGroup: Fail, // all nodes discard the client's repeat with DedupAll
+		DedupAll:          Reject, // all nodes discard the client's repeat
+		DedupZone:         Fail,
+		DedupReplicaGroup: Fail,
 	}
 	for group, finalAnswer := range finalAnswers {
 		for _, ran := range mayHaveRun {
@@ -133,3 +135,17 @@
 	read.requireSend("retry within the window", actions)
 	require.Equal(t, WriteLimit{read.hedgedAt + window, Repeatable}, actions[0].Limit)
 }
+
+// The first attempt of a read that may be hedged must be written within the window too. Guards against a first attempt
+// that waits for a connection while the second one runs, and is written after the window of that one.
+func TestAttemptThatWasHedgedMustBeWrittenWithinTheWindow(t *testing.T) {
+	const window = 400 * ms
+	settings := defaultSettings()
+	class := &settings.Classes[classAny]
+	class.Effect, class.DedupGroup, class.DedupWindow = Deduplicated, DedupReplicaGroup, window
+	harness := newHarness(t, settings)
+	sentAt := harness.now
+	actions := harness.arrive(hedgedReadID, classAny)
+	harness.requireSend("first attempt", actions)
+	require.Equal(t, WriteLimit{sentAt + window, Repeatable}, actions[0].Limit)
+}
--- a/routing/writelimit.go
+++ b/routing/writelimit.go
@@ -42,7 +42,12 @@
 // connection, and what it was decided on may change meanwhile.
 func (r *Router) writeLimit(request *openRequest, node *nodeRecord) (limit WriteLimit) {
 	limit = limit.And(WriteLimit{r.freshUntil(node, request), ProvenFresh})
-	return limit.And(WriteLimit{request.repeatableUntil(), Repeatable})
+	limit = limit.And(WriteLimit{request.repeatableUntil(), Repeatable})
+	if r.mayHedge(request) && request.class.Effect == Deduplicated {
+		// A later attempt may run while this one waits.
+		limit = limit.And(WriteLimit{r.now + request.class.DedupWindow, Repeatable})
+	}
+	return limit
 }
 
 // repeatableUntil returns the router's time from which a repeat of the request would be executed again, or 0 if there
