Count a Flight statement as one that may have run from its ticket on

Cause: by FlightSql.proto a database executes a query when it is asked for the ticket. The backend reported "rejected", proof that nothing ran, where the ticket may not be fetched any more (internal/flight/stream.go, query). Likewise an answer to the fetch that turns it away counted as a proof, and an error behind the result of an update. Ruled out: transparent retries of gRPC (they cancel the attempt), calls that fail before a message was handed over (nothing was sent), the PostgreSQL wire (one message, one answer). Change: an attempt knows whether its database has accepted the statement (core.Accepted, routing.Outcome.Accepted); then no status proves that it never ran, for the router, claims of ids and the core's rejections. A ticket that is not fetched ends its attempt as cancelled. The check before the fetch stays.

--- a/internal/core/admission.go
+++ b/internal/core/admission.go
@@ -112,7 +112,7 @@
 	if request.CostObserver != nil {
 		c.observeCost(attempt, status, took)
 	}
-	request.mayHaveRun = request.mayHaveRun || !status.NeverRan()
+	request.mayHaveRun = request.mayHaveRun || attempt.accepted || !status.NeverRan()
 	if request.admission != admitted {
 		return
 	}
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -36,6 +36,7 @@
 	othersInFlight int               // other attempts at its database when it was sent; see CostObserver
 	done           bool              // it has ended, see Done
 	written        bool              // its last byte has been handed to the operating system
+	accepted       bool              // its database has taken the statement; see Core.Accepted
 }
 
 // send begins an attempt. The attempt ends at once with NotSent if the request is over or being answered, or if its
@@ -80,6 +81,10 @@
 	}
 }
 
+// Accepted reports that the database of an attempt has taken the statement, such as by a ticket for its result. The
+// statement may have run from then on, whatever status the attempt ends with.
+func (c *Core) Accepted(attempt *Attempt) { attempt.accepted = true }
+
 // AnswerStarted reports that the answer of an attempt starts to reach the client. From now on only this attempt can
 // answer the request. Its other attempts are cancelled: they must neither end the answer nor add to it. AnswerStarted
 // returns false if the request is over or another attempt answers it; nothing may be passed on then.
@@ -215,6 +220,7 @@
 		Node:           attempt.Member.ID,
 		Attempt:        attempt.number,
 		Status:         status,
+		Accepted:       attempt.accepted,
 		Duration:       took,
 		Final:          request.done,
 		AnswerEvidence: evidence,
--- a/internal/flight/attempt.go
+++ b/internal/flight/attempt.go
@@ -26,7 +26,7 @@
 	cancel     context.CancelCauseFunc
 	timeLimit  *time.Timer      // at first the deadline, then of the next message; see bindRequest
 	heldUp     time.Duration    // for which the client took no message; used by run alone
-	answered   bool             // the database has answered with a ticket; written by run, read once that has ended
+	accepted   bool             // the database has sent a ticket or a result; written by run, read once that has ended
 	evidence   routing.Evidence // what the database last reported of itself; likewise
 	written    atomic.Bool      // a message was handed to the connection, and may arrive; used on any goroutine
 }
--- a/internal/flight/attempterrors.go
+++ b/internal/flight/attempterrors.go
@@ -14,7 +14,8 @@
 // failureKind says what the failure of an attempt means for the database, and whether the statement may be retried.
 type failureKind uint8
 
-// The kinds of failures.
+// The kinds of failures. Even where one says that the statement did not run, it may have run if the database had
+// accepted it before; see core.Core.Accepted.
 const (
 	// withdrawn: nothing was written, since the statement may not be sent any more. It says nothing about the database.
 	withdrawn failureKind = iota
@@ -26,6 +27,9 @@
 	rejected
 	// overloaded: the database did not run the statement, as it is overloaded.
 	overloaded
+	// unfetched: the database gave out a ticket, which may not be fetched any more. It says nothing about the database;
+	// the statement may have run.
+	unfetched
 	// connectionLost: the connection broke; the statement may have run.
 	connectionLost
 	// timedOut: no answer came in time; the statement may have run.
@@ -46,6 +50,7 @@
 	unreachable:    {"unreachable", routing.ConnectFailed},
 	rejected:       {"rejected", routing.NodeRejected},
 	overloaded:     {"overloaded", routing.NodeOverloaded},
+	unfetched:      {"unfetched", routing.Cancelled},
 	connectionLost: {"connection lost", routing.ConnectionBroken},
 	timedOut:       {"timed out", routing.TimedOut},
 	endpointFault:  {"endpoint fault", routing.NodeError},
--- a/internal/flight/backend.go
+++ b/internal/flight/backend.go
@@ -79,11 +79,14 @@
 
 // finish reports to the core how an attempt ended, on the event loop.
 func (backend *Backend) finish(ended *attempt, answer []byte, failure *attemptError) {
-	neverAnswered := failure != nil && failure.kind == timedOut && !ended.answered
+	neverAnswered := failure != nil && failure.kind == timedOut && !ended.accepted
 	if neverAnswered { // the connection to a database that was cut off would stay open and silent for ever
 		backend.connections.retire(ended.Member.ID, ended.connection)
 	}
 	ended.connection.release()
+	if ended.accepted {
+		backend.core.Accepted(ended.Attempt)
+	}
 	switch {
 	case failure == nil:
 		backend.core.Done(ended.Attempt, routing.OK, ended.evidence, answer)
--- a/internal/flight/stream.go
+++ b/internal/flight/stream.go
@@ -12,15 +12,16 @@
 	"google.golang.org/grpc/status"
 )
 
-// query runs a query: it gets a ticket from the database, fetches that, and passes the stream on.
+// query runs a query: it gets a ticket from the database, fetches that, and passes the stream on. By the protocol the
+// database may execute the statement when it is asked for the ticket.
 func (attempt *attempt) query(client flight.FlightServiceClient, descriptor *flight.FlightDescriptor) error {
 	ticket, err := attempt.ticket(client, descriptor)
 	if err != nil {
 		return err
 	}
-	// What allowed the statement may have run out since. Nothing of it has run.
+	// What allowed the statement may have run out since. A database that executes it only now must not begin.
 	if !attempt.mayBeSent() {
-		return &attemptError{rejected, errMayNotBeSent}
+		return &attemptError{unfetched, errMayNotBeSent}
 	}
 	stream, err := client.DoGet(attempt.callContext(), ticket)
 	if err != nil {
@@ -39,7 +40,7 @@
 	if err != nil {
 		return nil, err
 	}
-	attempt.answered = true
+	attempt.accepted = true
 	endpoints := info.GetEndpoint()
 	isOneOfItsOwn := len(endpoints) == 1 && len(endpoints[0].GetLocation()) == 0
 	if !isOneOfItsOwn {
--- a/internal/flight/update.go
+++ b/internal/flight/update.go
@@ -23,7 +23,7 @@
 	if err := stream.CloseSend(); err != nil {
 		return nil, err
 	}
-	result, err := receiveResult(stream)
+	result, err := attempt.receiveResult(stream)
 	attempt.readEvidence(stream)
 	if err != nil {
 		return nil, err
@@ -33,11 +33,12 @@
 
 // receiveResult returns the one result of an update. It counts only once the database has ended the call without an
 // error.
-func receiveResult(stream flight.FlightService_DoPutClient) (*flight.PutResult, error) {
+func (attempt *attempt) receiveResult(stream flight.FlightService_DoPutClient) (*flight.PutResult, error) {
 	result, err := stream.Recv()
 	if err != nil {
 		return nil, err
 	}
+	attempt.accepted = true
 	_, err = stream.Recv()
 	switch {
 	case errors.Is(err, io.EOF):
--- /dev/null
+++ b/internal/flight/update_test.go
@@ -0,0 +1,37 @@
+package flight
+
+import (
+	"testing"
+
+	"github.com/apache/arrow-go/v18/arrow/flight"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+)
+
+// scriptedPut is the stream of an update whose answer consists of so many results and an error.
+type scriptedPut struct {
+	flight.FlightService_DoPutClient
+	results int
+	end     error
+}
+
+// Recv implements flight.FlightService_DoPutClient.
+func (stream *scriptedPut) Recv() (*flight.PutResult, error) {
+	if stream.results == 0 {
+		return nil, stream.end
+	}
+	stream.results--
+	return &flight.PutResult{}, nil
+}
+
+// Guards against an update that is sent again after its database has answered with a result, as an error that follows
+// the result counted as a proof that nothing had run.
+func TestErrorAfterResultIsNoProofThatUpdateNeverRan(t *testing.T) {
+	for results, accepted := range []bool{false, true, true} {
+		var update attempt
+		_, err := update.receiveResult(&scriptedPut{results: results, end: status.Error(codes.FailedPrecondition, "")})
+		require.Error(t, err)
+		require.Equal(t, accepted, update.accepted, "%d results", results)
+	}
+}
--- a/internal/testbed/behaviour.go
+++ b/internal/testbed/behaviour.go
@@ -36,6 +36,10 @@
 // delayedTicket is a word, beside the behaviours, which delays a statement's Flight ticket until Release is called.
 const delayedTicket = "ticket"
 
+// executedForTicket is a word, beside the behaviours, with which a statement is executed when its Flight ticket is
+// requested, as the protocol allows. What its behaviour says then applies to the fetch.
+const executedForTicket = "planned"
+
 // Long is the value of a long answer: 4 MiB. Ordinary is one of the greatest length that the protocol has: 64 KiB.
 var (
 	Long     = strings.Repeat("0123456789abcdef", 4<<20/16)
@@ -76,6 +80,11 @@
 		}
 		d.executions[match[1]]++
 	}
+	return behaviourOf(sql)
+}
+
+// behaviourOf returns what a statement's words choose.
+func behaviourOf(sql string) behaviour {
 	for _, candidate := range behaviours {
 		if strings.Contains(sql, string(candidate)) {
 			return candidate
--- a/internal/testbed/database_flight.go
+++ b/internal/testbed/database_flight.go
@@ -46,6 +46,9 @@
 	descriptor *flight.FlightDescriptor,
 ) (*flight.FlightInfo, error) {
 	sql := query.GetQuery()
+	if strings.Contains(sql, executedForTicket) {
+		s.database.receive(sql, time.Now())
+	}
 	if strings.Contains(sql, delayedTicket) {
 		s.database.countTicket()
 		<-s.database.released
@@ -72,7 +75,10 @@
 	if err := grpc.SetTrailer(ctx, trailer); err != nil {
 		return serve, err
 	}
-	does := database.receive(sql, time.Now())
+	does := behaviourOf(sql)
+	if !strings.Contains(sql, executedForTicket) {
+		does = database.receive(sql, time.Now())
+	}
 	switch does {
 	case rejectOverloaded:
 		return does, wire.Rejection(0)
--- a/routing/api.go
+++ b/routing/api.go
@@ -184,22 +184,29 @@
 	ConnectRefused          // no process listens on the node's port; the request never ran
 )
 
-// NeverRan reports whether the status proves that the node did not run the request.
+// NeverRan reports whether the status proves that the node did not run the request, unless the node had accepted it
+// before.
 func (s Status) NeverRan() bool {
 	return s == NodeOverloaded || s == ConnectFailed || s == ConnectRefused || s == NotSent || s == NodeRejected
 }
 
 // Outcome is the end of an attempt or a probe, with the evidence that the node sent about itself.
 type Outcome struct {
-	Node           NodeID
-	Attempt        int // index of the attempt among those of its request, from 0
-	Status         Status
-	Duration       time.Duration
+	Node     NodeID
+	Attempt  int // index of the attempt among those of its request, from 0
+	Status   Status
+	Duration time.Duration
+	// Accepted means that the node had taken the request before it reported the Status, which therefore proves nothing
+	// about whether the request ran.
+	Accepted       bool
 	Final          bool     // the client has its answer or the request is over
 	AnswerEvidence Evidence // from the answer to the request
 	HealthReport   Evidence // from a health report
 }
 
+// NeverRan reports whether the outcome proves that the node did not run the request.
+func (o *Outcome) NeverRan() bool { return o.Status.NeverRan() && !o.Accepted }
+
 // Evidence is what a node reports about itself. It is current in the answer to a request; in a health report it may be
 // older.
 type Evidence struct {
--- a/routing/attempts.go
+++ b/routing/attempts.go
@@ -141,7 +141,7 @@
 func (r *Router) endAttempt(request *openRequest, attempt *attemptRecord, outcome *Outcome) {
 	status := outcome.Status
 	attempt.pending, attempt.endedAt = false, r.now
-	attempt.mayHaveRun = !status.NeverRan()
+	attempt.mayHaveRun = !outcome.NeverRan()
 	request.pending--
 	if status != ConnectFailed && status != ConnectRefused && status != NotSent {
 		request.waitUntil = request.deadline
@@ -157,7 +157,7 @@
 		if commit.Remote == 0 {
 			commit.Own = r.now
 		}
-		r.writes.Ended(request.Session, !status.NeverRan(), commit)
+		r.writes.Ended(request.Session, !outcome.NeverRan(), commit)
 	}
 }
 
--- a/routing/property_test.go
+++ b/routing/property_test.go
@@ -218,13 +218,13 @@
 	attempt := &request.attempts[index]
 	outcome := Outcome{
 		Node: attempt.node, Attempt: index, Duration: e.now - attempt.sentAt, AnswerEvidence: e.evidence(attempt.node),
-		Status: Status(e.rng.IntN(int(NodeRejected) + 1)),
+		Status: Status(e.rng.IntN(int(NodeRejected) + 1)), Accepted: e.rng.IntN(10) == 0,
 	}
 	if overdue {
 		outcome.Status = TimedOut
 	}
 	attempt.pending = false
-	attempt.mayHaveRun = !outcome.Status.NeverRan()
+	attempt.mayHaveRun = !outcome.Status.NeverRan() || outcome.Accepted
 	outcome.Final = request.done || outcome.Status == OK
 	request.done = outcome.Final
 	switch outcome.AnswerEvidence.Role {
