Build the comparison with PostgreSQL's parser again

Seen: make oracle did not build: analyser.Read undefined. Change: the name, also in a doc comment. Result: go test in internal/statement/oracle passes in 5 s (it did not build before).

--- a/internal/statement/oracle/oracle_test.go
+++ b/internal/statement/oracle/oracle_test.go
@@ -79,7 +79,7 @@
 		if countsOf[corpus.name] == nil {
 			countsOf[corpus.name] = &counts{}
 		}
-		countsOf[corpus.name].compare(t, corpus.name, sql, analyser.Read(sql))
+		countsOf[corpus.name].compare(t, corpus.name, sql, analyser.Analyse(sql))
 	}
 	table := countsTable(countsOf)
 	t.Log("\n" + table)
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -136,7 +136,7 @@
 	return *info
 }
 
-// Fingerprint returns the fingerprint of the last text that Read analysed. It is valid until the next call of Read.
+// Fingerprint returns the fingerprint of the last text that was analysed. It is valid until the next call of Analyse.
 func (a *Analyser) Fingerprint() []byte { return a.fingerprint }
 
 // blank reports whether a text consists of white space and semicolons only.
