Tell keywords that name nothing from keywords that name relations

Cause: one set, reserved, held two kinds of keywords: those that can name nothing, and those that can name relations, columns and schemas, but no function. Both kinds are no calls before a parenthesis, but the second kind begins the name of a relation after UPDATE (finishPendingWrite), of a schema before a dot (addNamePart) and of a relation that operators list (finishName). The words of joins were taken for no relation together with filter, over and such.

--- a/internal/statement/classify.go
+++ b/internal/statement/classify.go
@@ -42,7 +42,7 @@
 	writes := false
 	switch s.pendingWrite {
 	case "update":
-		writes = token.kind == quoted || token.kind == word && (!reserved[keyword] || keyword == "only")
+		writes = token.kind == quoted || token.kind == word && mayFollowUpdate(keyword)
 	case "delete":
 		writes = keyword == "from"
 	case "insert", "merge":
@@ -54,6 +54,12 @@
 	s.pendingWrite = ""
 }
 
+// mayFollowUpdate reports whether an unquoted word, which is the given keyword or none, can follow UPDATE in an update:
+// as the beginning of a relation's name, or as ONLY.
+func mayFollowUpdate(keyword string) bool {
+	return !reserved[keyword] || keyword == "only"
+}
+
 // beginStatement classifies a statement by its first word. A statement that EXPLAIN only plans does not count.
 func (s *scanner) beginStatement(token token, keyword string) {
 	s.atStart, s.verbAt = false, token.start
@@ -126,8 +132,8 @@
 	case "table":
 		if s.verb == "table" || s.verb == "with" {
 			s.inWithList &^= bit
-			s.relationNext = true
 		}
+		s.relationNext = true
 	case "on", "using":
 		s.aliasMayFollow &^= bit
 	case "select", "values", "insert", "delete", "merge",
--- a/internal/statement/keywords.go
+++ b/internal/statement/keywords.go
@@ -8,7 +8,7 @@
 	reserved bool
 }
 
-// otherKeywords are the keywords that are not in reserved, infix or wordsBefore.
+// otherKeywords are the keywords that are not in reserved, relationNames, infix or wordsBefore.
 var otherKeywords = wordSet(`
 insert update delete merge copy explain prepare execute deallocate call begin start commit rollback abort
 savepoint release set reset show discard listen notify unlisten lock truncate alter drop revoke comment security
@@ -22,6 +22,9 @@
 	for word := range reserved {
 		table[word] = keyword{word, true}
 	}
+	for word := range relationNames {
+		table[word] = keyword{word, false}
+	}
 	for word := range infix {
 		table[word] = keyword{word, false}
 	}
@@ -59,22 +62,27 @@
 // readVerbs are the first words of statements that only read, unless a part of them writes or locks.
 var readVerbs = wordSet("select values table with show copy")
 
-// reserved are the keywords that can name neither a function nor, without AS, an alias (appendix "SQL Key Words" of
-// PostgreSQL's documentation: reserved, and those that cannot be function or type names). A parenthesis after
-// such a keyword does not open a call.
+// reserved are the keywords that can name nothing (appendix "SQL Key Words" of PostgreSQL's documentation: reserved). A
+// parenthesis after such a keyword does not open a call.
 var reserved = wordSet(`
 all analyse analyze and any array as asc asymmetric both case cast check collate column constraint create
 current_catalog
 current_date current_role current_time current_timestamp current_user default deferrable desc distinct do else end
 except false fetch for foreign from grant group having in initially intersect into lateral leading limit localtime
 localtimestamp not null offset on only or order placing primary references returning select session_user some symmetric
-system_user table then to trailing true union unique user using variadic when where window with
+table then to trailing true union unique user using variadic when where window with
+`)
+
+// relationNames are the keywords that can name relations, columns and schemas, but neither functions nor types (in the
+// same appendix: non-reserved, cannot be function or type), and system_user, which can before PostgreSQL 16. A
+// parenthesis after such a keyword does not open a call, but the name of a function may follow it and a dot.
+var relationNames = wordSet(`
 between bigint bit boolean char character coalesce dec decimal exists extract float greatest grouping inout int integer
 interval json json_array json_arrayagg json_exists json_object json_objectagg json_query json_scalar json_serialize
 json_table json_value least merge_action national nchar none normalize nullif numeric out overlay position precision
 real
 row setof smallint substring time timestamp treat trim values varchar xmlattributes xmlconcat xmlelement xmlexists
-xmlforest xmlnamespaces xmlparse xmlpi xmlroot xmlserialize xmltable
+xmlforest xmlnamespaces xmlparse xmlpi xmlroot xmlserialize xmltable system_user
 `)
 
 // infix are the words that are syntax if they follow an operand: a parenthesis after them then opens no call. Elsewhere
@@ -94,6 +102,12 @@
 	"varying": wordSet("bit char character nchar"),
 }
 
+// noRelations are the words of infix that cannot name a relation (in the same appendix: reserved, can be function or
+// type).
+var noRelations = wordSet(`
+join like ilike overlaps is isnull notnull similar collation cross natural inner left right full outer tablesample
+`)
+
 // joinModifiers are the words that may precede JOIN.
 var joinModifiers = wordSet("cross natural inner left right full outer")
 
--- a/internal/statement/names.go
+++ b/internal/statement/names.go
@@ -99,7 +99,7 @@
 		s.mayWrite(ByFunction, s.nameSpan())
 	}
 	keyword, _ := keywordOf(last.name)
-	if !s.relationNext || s.partCount == 1 && last.token.kind == word && infix[keyword] {
+	if !s.relationNext || s.partCount == 1 && last.token.kind == word && noRelations[keyword] {
 		return
 	}
 	s.relationNext = false
@@ -144,7 +144,7 @@
 		case "update", "share":
 			return false
 		}
-		return !reserved[keyword] && !infix[keyword] && wordsBefore[keyword] == nil
+		return !reserved[keyword] && !relationNames[keyword] && !infix[keyword] && wordsBefore[keyword] == nil
 	case punctuation:
 		return true // the caller ensures that it is ) or ]
 	}
@@ -160,17 +160,8 @@
 	afterOpening := s.beforeName.kind == punctuation &&
 		s.sql[s.beforeName.start] != ')' && s.sql[s.beforeName.start] != ']'
 	afterOperand := !afterOpening && endsOperand(s.beforeName, s.wordBeforeName)
-	if s.partCount == 1 && last.token.kind == word {
-		if last.token.start == s.verbAt { // EXPLAIN (options), COPY (query)
-			return
-		}
-		keyword, _ := keywordOf(last.name)
-		if infix[keyword] && afterOperand || keyword == "join" && joinModifiers[s.wordBeforeName] {
-			return
-		}
-		if before, listed := wordsBefore[keyword]; listed && before[s.wordBeforeName] {
-			return
-		}
+	if s.partCount == 1 && last.token.kind == word && s.isSyntax(last, afterOperand) {
+		return
 	}
 	switch {
 	case s.wordBeforeName == "as": // an alias with columns, or a type
@@ -195,6 +186,21 @@
 	}
 }
 
+// isSyntax reports whether a word before a parenthesis is syntax and names no function.
+func (s *scanner) isSyntax(name namePart, afterOperand bool) bool {
+	if name.token.start == s.verbAt { // EXPLAIN (options), COPY (query)
+		return true
+	}
+	keyword, _ := keywordOf(name.name)
+	switch {
+	case relationNames[keyword], wordsBefore[keyword][s.wordBeforeName]:
+		return true
+	case infix[keyword] && afterOperand:
+		return true
+	}
+	return keyword == "join" && joinModifiers[s.wordBeforeName]
+}
+
 // classifyFunction classifies the function that the current name refers to: ByFunction if it writes, OnlyReads if it
 // only reads, else ByUnknown.
 func (s *scanner) classifyFunction() Why {
