Find calls after operators in words, DISTINCT ON and the keywords of expressions

Cause: a name before a parenthesis counted as no call where something seemed to end an operand before it. (1) FROM among the arguments of substring, trim, extract and overlay counted as a FROM clause, where an alias with columns may follow; (2) the parentheses of OPERATOR(...) and of DISTINCT ON (...) counted as operands, and so did words that an expression follows, as VALUE, ROWS, DOCUMENT or PATH; (3) words as join, filter, like and rollup were syntax behind any operand, and materialized behind any NOT; (4) the list of WITH did not end at TABLE in a subquery. TREAT(a AS f), which calls f, was no call at all. Ruled out: the lexer, which ends each of these tokens where PostgreSQL does. Change: FROM begins a clause only where a SELECT has begun at its depth; each word that is syntax has the place where it surely is; what surely ends an operand is listed, and all else is taken for a place where a call may stand.

--- a/internal/statement/classify.go
+++ b/internal/statement/classify.go
@@ -127,16 +127,20 @@
 	case "from":
 		s.beginFrom(token, bit)
 	case "join":
-		s.inFrom, s.aliasMayFollow = s.inFrom|bit, s.aliasMayFollow|bit
+		s.aliasMayFollow |= s.inFrom & bit // elsewhere it names a function
 		s.relationNext = true
 	case "table":
-		if s.verb == "table" || s.verb == "with" {
-			s.inWithList &^= bit
-		}
+		s.inWithList &^= bit
 		s.relationNext = true
 	case "on", "using":
 		s.aliasMayFollow &^= bit
-	case "select", "values", "insert", "delete", "merge",
+		s.distinctOn = s.prevWord == "distinct"
+	case "by":
+		s.grouping = s.prevWord == "group"
+	case "select":
+		s.endClauses(bit)
+		s.inSelect |= bit
+	case "values", "insert", "delete", "merge",
 		"where", "group", "having", "order", "limit", "offset", "fetch", "union", "intersect", "except", "window",
 		"for", "returning":
 		s.endClauses(bit)
@@ -152,9 +156,11 @@
 	}
 }
 
-// beginFrom processes FROM at a depth. FROM in IS DISTINCT FROM does not begin a clause, and COPY ... FROM writes.
+// beginFrom processes FROM at a depth. It begins no clause in IS DISTINCT FROM and in the arguments of substring, trim,
+// extract and overlay, and COPY ... FROM writes.
 func (s *scanner) beginFrom(token token, bit uint64) {
-	if s.prevWord != "distinct" {
+	beginsClause := (s.inSelect|s.inFrom)&bit != 0 && s.prevWord != "distinct"
+	if beginsClause {
 		s.inFrom, s.aliasMayFollow = s.inFrom|bit, s.aliasMayFollow|bit
 		s.relationNext = true
 	}
--- a/internal/statement/keywords.go
+++ b/internal/statement/keywords.go
@@ -13,7 +13,14 @@
 insert update delete merge copy explain prepare execute deallocate call begin start commit rollback abort
 savepoint release set reset show discard listen notify unlisten lock truncate alter drop revoke comment security
 reindex cluster vacuum refresh import reassign declare move close checkpoint load verbose stdout program share
-no key partition as
+no key partition as operator value ref passing path rows range groups document content version
+`)
+
+// beforeOperands are the keywords of otherKeywords that an operand may follow: a parenthesis after the next word can
+// open a call.
+var beforeOperands = wordSet(`
+as key value ref passing path rows range groups document content version no share update insert delete merge
+verbose
 `)
 
 // keywords maps each word that the scanner distinguishes to its entry.
--- a/internal/statement/names.go
+++ b/internal/statement/names.go
@@ -132,8 +132,13 @@
 	return list[string(qualified)]
 }
 
-// endsOperand reports whether a token can be the end of an operand. An operator or an alias may follow an operand.
-func endsOperand(token token, keyword string) bool {
+// endsParenthesis reports whether a token closes a parenthesis that ends an operand.
+func (s *scanner) endsParenthesis(token token) bool {
+	return token.kind == punctuation && s.sql[token.start] == ')'
+}
+
+// endsOperand reports whether a token surely ends an operand, so that an operator follows it and no other operand.
+func (s *scanner) endsOperand(token token, keyword string) bool {
 	switch token.kind {
 	case quoted, stringToken, number, parameter:
 		return true
@@ -141,26 +146,26 @@
 		switch keyword {
 		case "", "ordinality", "end", "null", "true", "false":
 			return true
-		case "update", "share":
-			return false
 		}
-		return !reserved[keyword] && !relationNames[keyword] && !infix[keyword] && wordsBefore[keyword] == nil
+		return otherKeywords[keyword] && !beforeOperands[keyword]
 	case punctuation:
-		return true // the caller ensures that it is ) or ]
+		return s.sql[token.start] == ')' || s.sql[token.start] == ']'
 	}
 	return false
 }
 
+// aliasMayFollowName reports whether the token before the current name can be the end of an item of a FROM clause.
+func (s *scanner) aliasMayFollowName() bool {
+	return s.endsOperand(s.beforeName, s.wordBeforeName) || beforeOperands[s.wordBeforeName]
+}
+
 // processCall processes the current name if a parenthesis follows it: a call of a function, or one of the forms of
 // syntax that look like a call.
 func (s *scanner) processCall() {
 	last := s.parts[s.partCount-1]
 	s.relationNext = false
 	bit := depthBit(s.depth)
-	afterOpening := s.beforeName.kind == punctuation &&
-		s.sql[s.beforeName.start] != ')' && s.sql[s.beforeName.start] != ']'
-	afterOperand := !afterOpening && endsOperand(s.beforeName, s.wordBeforeName)
-	if s.partCount == 1 && last.token.kind == word && s.isSyntax(last, afterOperand) {
+	if s.partCount == 1 && last.token.kind == word && s.isSyntax(last, bit) {
 		return
 	}
 	switch {
@@ -170,8 +175,7 @@
 		return
 	case s.inWithList&bit != 0: // WITH name (columns)
 		return
-	case s.aliasMayFollow&bit != 0 && afterOperand &&
-		(s.wordBeforeName == "" || s.wordBeforeName == "ordinality"): // an alias with columns and without AS
+	case s.aliasMayFollow&bit != 0 && s.aliasMayFollowName(): // an alias with columns and without AS
 		return
 	}
 	if s.info.FunctionCount < MaxNames {
@@ -186,19 +190,27 @@
 	}
 }
 
-// isSyntax reports whether a word before a parenthesis is syntax and names no function.
-func (s *scanner) isSyntax(name namePart, afterOperand bool) bool {
+// isSyntax reports whether a word before a parenthesis at the depth of a bit is surely syntax and names no function.
+func (s *scanner) isSyntax(name namePart, bit uint64) bool {
 	if name.token.start == s.verbAt { // EXPLAIN (options), COPY (query)
 		return true
 	}
 	keyword, _ := keywordOf(name.name)
-	switch {
-	case relationNames[keyword], wordsBefore[keyword][s.wordBeforeName]:
-		return true
-	case infix[keyword] && afterOperand:
-		return true
-	}
-	return keyword == "join" && joinModifiers[s.wordBeforeName]
+	switch keyword {
+	case "treat": // TREAT (a AS f) is f(a)
+		return false
+	case "rollup", "cube":
+		return s.wordBeforeName == "by" && s.grouping
+	case "materialized":
+		return wordsBefore[keyword][s.wordBeforeName] && s.inWithList&bit != 0
+	case "join":
+		return s.inFrom&bit != 0 && (s.aliasMayFollowName() || joinModifiers[s.wordBeforeName])
+	case "over", "filter":
+		return bit != 0 && s.endsParenthesis(s.beforeName)
+	case "like", "ilike", "overlaps", "escape", "columns":
+		return bit != 0 && s.endsOperand(s.beforeName, s.wordBeforeName)
+	}
+	return relationNames[keyword] || wordsBefore[keyword][s.wordBeforeName]
 }
 
 // classifyFunction classifies the function that the current name refers to: ByFunction if it writes, OnlyReads if it
--- a/internal/statement/scanner.go
+++ b/internal/statement/scanner.go
@@ -22,7 +22,9 @@
 
 	depth                  int    // of parentheses
 	inFrom, aliasMayFollow uint64 // bits by depth: in a FROM clause; an alias may follow in that clause
+	inSelect               uint64 // bits by depth: a SELECT has begun, to which FROM belongs
 	inWithList             uint64 // bits by depth: in the list of a WITH clause
+	noOperand              uint64 // bits by depth: its parenthesis is an operator's, or that of DISTINCT ON
 	atStart                bool   // the next word is the first of a statement
 	verb                   string // the first word of the statement, if it is a keyword
 	verbAt                 int    // the offset of the first word
@@ -33,6 +35,9 @@
 	pendingWrite           string // the last word, if it may begin a write
 	prev                   token
 	prevWord               string // the keyword of prev, or ""
+	grouping               bool   // the last BY was that of GROUP BY
+	distinctOn             bool   // the last ON was that of DISTINCT ON
+	closesNoOperand        bool   // the token is a closing parenthesis that does not end an operand
 	relationNext           bool   // the next name is that of a relation
 
 	parts          [3]namePart // of the current name
@@ -72,6 +77,9 @@
 		s.trackClause(token, keyword)
 	}
 	s.prev, s.prevWord = token, keyword
+	if s.closesNoOperand {
+		s.prev.kind, s.closesNoOperand = operatorToken, false
+	}
 }
 
 // trackPunctuation processes a parenthesis, a bracket, a comma, a dot, a colon or a semicolon.
@@ -90,12 +98,17 @@
 		}
 		s.depth++
 		bit := depthBit(s.depth)
-		s.inFrom, s.aliasMayFollow, s.inWithList = s.inFrom&^bit, s.aliasMayFollow&^bit, s.inWithList&^bit
+		s.endClauses(bit)
+		s.inSelect, s.noOperand = s.inSelect&^bit, s.noOperand&^bit
+		if s.prevWord == "operator" || s.prevWord == "on" && s.distinctOn {
+			s.noOperand |= bit
+		}
 		if s.relationNext { // FROM (a JOIN b): the FROM clause continues within the parentheses
 			s.inFrom, s.aliasMayFollow = s.inFrom|bit, s.aliasMayFollow|bit
 		}
 	case ')':
 		s.endName()
+		s.closesNoOperand = s.depth >= maxClauseDepth || s.noOperand&depthBit(s.depth) != 0
 		s.depth = max(0, s.depth-1)
 		s.relationNext = false
 	case ',':
