Take a quoted option of EXPLAIN for one that executes

Seen: EXPLAIN ("analyze") DELETE FROM t counts as a statement that is only planned, and PostgreSQL executes it. Cause: explainOption looks at keywords alone, and a quoted name is none. Change: any quoted option counts as ANALYZE.

--- a/internal/statement/classify.go
+++ b/internal/statement/classify.go
@@ -98,7 +98,8 @@
 		s.explainState = explainStatement
 		return false
 	}
-	if keyword == "analyze" || keyword == "analyse" {
+	isQuotedOption := token.kind == quoted // it may be "analyze"
+	if keyword == "analyze" || keyword == "analyse" || isQuotedOption {
 		s.analyze = true
 	}
 	if token.kind == punctuation && s.sql[token.start] == ')' {
--- a/internal/statement/statement_test.go
+++ b/internal/statement/statement_test.go
@@ -94,6 +94,8 @@
 		"COPY t TO '/x'",
 		"EXPLAIN ANALYZE DELETE FROM t",
 		"EXPLAIN (COSTS, ANALYZE) UPDATE t SET a = 1",
+		"EXPLAIN (\"analyze\") DELETE FROM t", // guards against an execution that a quoted option hides
+		"EXPLAIN (COSTS off, U&\"analy\\007Ae\" on) UPDATE t SET a = 1",
 		"EXPLAIN ANALYZE VERBOSE INSERT INTO t VALUES (1)",
 	},
 	ByPart: {
