Know TO STDOUT from a name that is stdout

Seen: COPY (SELECT stdout FROM t) TO '/x' counts as a read, and writes a file at the server. Cause: the word stdout anywhere in a COPY counted as its target. Change: it is the target behind TO, outside parentheses.

--- a/internal/statement/classify.go
+++ b/internal/statement/classify.go
@@ -197,7 +197,7 @@
 	case "program":
 		writes = s.verb == "copy"
 	case "stdout":
-		s.toStdout = true
+		s.toStdout = s.toStdout || s.depth == 0 && s.prevWord == "to" // elsewhere it is a name
 	}
 	if writes {
 		s.mayWrite(ByPart, Span{token.start, token.end})
--- a/internal/statement/statement_test.go
+++ b/internal/statement/statement_test.go
@@ -96,6 +96,10 @@
 		"EXPLAIN (COSTS, ANALYZE) UPDATE t SET a = 1",
 		"EXPLAIN (\"analyze\") DELETE FROM t", // guards against an execution that a quoted option hides
 		"EXPLAIN (COSTS off, U&\"analy\\007Ae\" on) UPDATE t SET a = 1",
+		"COPY stdout TO '/x'", // guards against a file written beside a name that is stdout
+		"COPY (SELECT stdout FROM t) TO '/x'",
+		"COPY (SELECT 1 AS stdout) TO '/x'",
+		"COPY t (stdout) TO '/x'",
 		"EXPLAIN ANALYZE VERBOSE INSERT INTO t VALUES (1)",
 	},
 	ByPart: {
