--- a/internal/statement/oracle/judge_test.go
+++ b/internal/statement/oracle/judge_test.go
@@ -43,6 +43,11 @@
 	switch kind {
 	case "SelectStmt", "VariableShowStmt":
 		return treeMayWrite(body)
+	case "CopyStmt":
+		if target := body.(map[string]any); !copiesToClient(target) {
+			return true, kind
+		}
+		return treeMayWrite(body)
 	case "ExplainStmt":
 		if explain := body.(map[string]any); isAnalyze(explain) {
 			if _, read := explain["query"].(map[string]any)["SelectStmt"]; !read {
@@ -55,6 +60,11 @@
 	return true, kind
 }
 
+// copiesToClient reports whether a COPY sends data to the client, and neither takes data nor writes a file.
+func copiesToClient(target map[string]any) bool {
+	return target["is_from"] == nil && target["is_program"] == nil && target["filename"] == nil
+}
+
 // isAnalyze reports whether an EXPLAIN executes its statement.
 func isAnalyze(explain map[string]any) bool {
 	options, _ := explain["options"].([]any)
