Take a number with letters behind it for unreadable

Seen: SELECT a FROM t LIMIT 1FOR UPDATE counts as a read. PostgreSQL up to 14 locks there (release notes of 15: such literals are rejected from then on). Cause: the lexer reads 1FOR as one number, as nothing could follow from where it ends; in the older versions the words behind it do. Change: a number or parameter with letters behind it is ambiguous, as a string with a backslash before its quote is, and the fingerprint says so.

--- a/internal/statement/fingerprint.go
+++ b/internal/statement/fingerprint.go
@@ -10,19 +10,17 @@
 // Placeholders of values in a fingerprint.
 const (
 	valuePlaceholder     = '?'
-	ambiguousPlaceholder = '!' // a string that would differ with standard_conforming_strings off
+	ambiguousPlaceholder = '!' // a value that would end elsewhere with another setting or version; see token
 )
 
 // appendToken appends a token of the text to a fingerprint.
 func appendToken(dst []byte, sql string, token token) []byte {
 	switch token.kind {
-	case stringToken:
+	case stringToken, number, parameter:
 		if token.ambiguous {
 			return appendValue(dst, ambiguousPlaceholder)
 		}
 		return appendValue(dst, valuePlaceholder)
-	case number, parameter:
-		return appendValue(dst, valuePlaceholder)
 	}
 	dst = appendSpace(dst, sql[token.start])
 	if token.kind != word {
--- a/internal/statement/lexer.go
+++ b/internal/statement/lexer.go
@@ -21,7 +21,9 @@
 type token struct {
 	kind       tokenKind
 	start, end int
-	ambiguous  bool // differs with standard_conforming_strings off (string), or has Unicode escapes (name)
+	// ambiguous: it differs with standard_conforming_strings off (string), has Unicode escapes (name), or ends earlier
+	// in PostgreSQL up to 14, which reads another token behind it (number, parameter).
+	ambiguous bool
 }
 
 // lexer splits a text into tokens by the lexical rules of PostgreSQL ("Lexical Structure" in its documentation) with
@@ -267,9 +269,14 @@
 	return token{kind: word, start: start, end: l.position}
 }
 
-// number reads a number, including letters that directly follow it. The end of the number must be exact only where the
-// following tokens depend on it: PostgreSQL rejects letters directly after a number and reads no other token there.
+// number reads a number, including letters that directly follow it, which make it ambiguous.
 func (l *lexer) number(start int) token {
+	l.skipNumber(start)
+	return token{kind: number, start: start, end: l.position, ambiguous: !isNumber(l.sql[start:l.position])}
+}
+
+// skipNumber skips a number that begins at start.
+func (l *lexer) skipNumber(start int) {
 	for l.position < len(l.sql) {
 		c := l.sql[l.position]
 		switch {
@@ -282,10 +289,29 @@
 		case c == '.' && l.peek(1) != '.':
 			l.position++
 		default:
-			return token{kind: number, start: start, end: l.position}
+			return
 		}
 	}
-	return token{kind: number, start: start, end: l.position}
+}
+
+const digits = "0123456789_" // of a number, with the separator of groups
+
+// isNumber reports whether a text is a whole number of any form, and nothing else.
+func isNumber(text string) bool {
+	if len(text) > 2 && text[0] == '0' && strings.IndexByte("xXoObB", text[1]) >= 0 {
+		return strings.Trim(text[2:], digits+"abcdefABCDEF") == ""
+	}
+	text = strings.TrimLeft(text, digits)
+	text = strings.TrimPrefix(text, ".")
+	text = strings.TrimLeft(text, digits)
+	if text == "" {
+		return true
+	}
+	if text[0] != 'e' && text[0] != 'E' {
+		return false
+	}
+	exponent := strings.TrimLeft(text[1:], "+-")
+	return exponent != "" && strings.Trim(exponent, digits) == ""
 }
 
 // hexadecimalAt reports whether the number that begins at start has the prefix of hexadecimal numbers.
@@ -301,7 +327,7 @@
 			i++
 		}
 		l.position = i
-		return token{kind: parameter, start: start, end: i}
+		return token{kind: parameter, start: start, end: i, ambiguous: strings.Trim(l.sql[start+1:i], digits) != ""}
 	}
 	if i < len(l.sql) && classes[l.sql[i]]&beginsName != 0 {
 		for i < len(l.sql) && classes[l.sql[i]]&continuesName != 0 && l.sql[i] != '$' {
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -117,7 +117,7 @@
 			scan.mayWrite(Unreadable, Span{token.start, token.end})
 			break
 		}
-		if token.kind == stringToken && token.ambiguous { // its end depends on standard_conforming_strings
+		if token.ambiguous && token.kind != quoted { // its end depends on a setting or the version
 			scan.mayWrite(Unreadable, Span{token.start, token.end})
 		}
 		scan.processToken(token)
--- a/internal/statement/statement_test.go
+++ b/internal/statement/statement_test.go
@@ -146,6 +146,10 @@
 	},
 	Unreadable: {
 		"SELECT 'it\\'s', 1 --'",
+		"SELECT a FROM t LIMIT 1FOR UPDATE", // guards against a lock that PostgreSQL up to 14 reads behind a number
+		"SELECT a FROM t WHERE b = $1FOR UPDATE",
+		"SELECT 1.5e3FROM t",
+		"SELECT 0x1FFROM t",
 		"SELECT 'abc",
 		"SELECT $a$ x",
 		"SELECT \"abc",
