Wait until the endpoint list has arrived before the ticket is released

Cause: a fault of the test. It sent the change of the list and released the ticket at once; a program that gets to run late fetches the ticket before it has read the list, and is right to. The case "draining" counted its time from the sending too. Taken from the answer and the code; not reproduced. Change: the test waits until the program counts one list more. What it checks is unchanged.

--- a/internal/flight/ticket_test.go
+++ b/internal/flight/ticket_test.go
@@ -9,6 +9,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"capercove/internal/discovery"
 	"capercove/internal/testbed"
 )
 
@@ -17,6 +18,14 @@
 	bed.Settings = strings.Replace(bed.Settings, `"idempotency":"safe"`, `"idempotency":"unsafe"`, 1)
 }
 
+// listAndAwait sends a change of the endpoint list, and waits until the program has received it.
+func listAndAwait(bed *testbed.Bed, entry discovery.Entry) {
+	bed.T.Helper()
+	before := bed.Counters(func(testbed.Counters) bool { return true }).Core.Lists
+	bed.List(entry)
+	bed.Counters(func(counters testbed.Counters) bool { return counters.Core.Lists > before })
+}
+
 // A database executes a statement as it is asked for the ticket, which may not be fetched by the time it comes. Guards
 // against a statement that must not run twice, and runs again elsewhere or is refused as if it had not run.
 func TestStatementOfUnfetchedTicketRunsOnce(t *testing.T) {
@@ -27,10 +36,10 @@
 	}{
 		{"excluded", "write", 0, func(bed *testbed.Bed) { bed.SetExcluded("db-0", true) }},
 		{"draining", "write", 0, func(bed *testbed.Bed) {
-			bed.List(bed.Entry(0, "DRAINING"))
+			listAndAwait(bed, bed.Entry(0, "DRAINING"))
 			testbed.Pass(1200 * time.Millisecond) // over half of the grace
 		}},
-		{"gone", "write", 0, func(bed *testbed.Bed) { bed.List(bed.Entry(0, "DELETED")) }},
+		{"gone", "write", 0, func(bed *testbed.Bed) { listAndAwait(bed, bed.Entry(0, "DELETED")) }},
 		{"not fresh any more", "read", 1, func(*testbed.Bed) { testbed.Pass(600 * time.Millisecond) }},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/testbed/log.go
+++ b/internal/testbed/log.go
@@ -16,6 +16,7 @@
 	Core    struct {
 		Fronts                                                         map[string]Answers
 		Attempts, Written, Reloads, ReloadErrors, NoProcess, NoConnect int
+		Lists                                                          int // endpoint lists received
 		Size                                                           float64
 		ClockAhead, ClockDissent, ClockMoves                           int
 	}
