Ask one function whether an attempt proves that nothing ran

Change: core.Done makes the outcome first, and both ask it. No behaviour, and no assertion, is changed. Result: the tests of core, statement and routing pass.

--- a/internal/core/admission.go
+++ b/internal/core/admission.go
@@ -107,17 +107,17 @@
 }
 
 // recordAttemptEnd reports the end of an attempt to the admission controller and to the request's CostObserver.
-func (c *Core) recordAttemptEnd(attempt *Attempt, status routing.Status, took time.Duration) {
-	request := attempt.Request
+func (c *Core) recordAttemptEnd(attempt *Attempt, outcome *routing.Outcome) {
+	request, status := attempt.Request, outcome.Status
 	if request.CostObserver != nil {
-		c.observeCost(attempt, status, took)
+		c.observeCost(attempt, status, outcome.Duration)
 	}
-	request.mayHaveRun = request.mayHaveRun || attempt.accepted || !status.NeverRan()
+	request.mayHaveRun = request.mayHaveRun || !outcome.NeverRan()
 	if request.admission != admitted {
 		return
 	}
 	if status == routing.OK || status == routing.TimedOut {
-		request.lastDuration = took
+		request.lastDuration = outcome.Duration
 	}
 	if status == routing.NodeOverloaded {
 		c.pushAdmission(admission.Event{Kind: admission.Overloaded, Request: uint64(request.id)})
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -210,21 +210,21 @@
 	attempt.timeout.Stop()
 	request.inFlight--
 	*c.counters.outcome(status)++
-	took := attempt.duration(c.clock())
-	c.recordAttemptEnd(attempt, status, took)
-	c.sampleAnswer(attempt, status, evidence)
-	if !request.done {
-		c.answerWith(attempt, status, answer)
-	}
-	c.pushEvent(routing.Event{Kind: routing.AttemptDone, Request: request.id, Outcome: routing.Outcome{
+	outcome := routing.Outcome{
 		Node:           attempt.Member.ID,
 		Attempt:        attempt.number,
 		Status:         status,
 		Accepted:       attempt.accepted,
-		Duration:       took,
-		Final:          request.done,
+		Duration:       attempt.duration(c.clock()),
 		AnswerEvidence: evidence,
-	}})
+	}
+	c.recordAttemptEnd(attempt, &outcome)
+	c.sampleAnswer(attempt, status, evidence)
+	if !request.done {
+		c.answerWith(attempt, status, answer)
+	}
+	outcome.Final = request.done
+	c.pushEvent(routing.Event{Kind: routing.AttemptDone, Request: request.id, Outcome: outcome})
 	c.release(request)
 }
 
--- a/internal/statement/keywords.go
+++ b/internal/statement/keywords.go
@@ -92,14 +92,15 @@
 xmlforest xmlnamespaces xmlparse xmlpi xmlroot xmlserialize xmltable system_user
 `)
 
-// infix are the words that are syntax if they follow an operand: a parenthesis after them then opens no call. Elsewhere
-// they may be names of functions.
+// infix are the words that are syntax between or behind operands, and end none. isSyntax knows where a parenthesis after
+// one of them opens no call. Elsewhere they may be names of functions.
 var infix = wordSet(`
 join like ilike overlaps escape over filter columns is isnull notnull similar collation cross natural inner
 left right full outer tablesample ordinality
 `)
 
-// wordsBefore maps a word to the preceding words that make it syntax: a parenthesis after it then opens no call.
+// wordsBefore maps a word to the preceding words that make it syntax: a parenthesis after it then opens no call. For
+// some of them isSyntax asks for more.
 var wordsBefore = map[string]map[string]bool{
 	"by": wordSet("group order partition"), "materialized": wordSet("as not"),
 	"rollup": wordSet("by"), "cube": wordSet("by"),
