Ask in the test of forgotten attempts for the window of repeats too

Seen: 224 of the 240 plays of TestProofForOneAttemptIsNoProofForAnother pass without the fix. Traced on: in 44 of them the fault shows, but not in the final answer: the request is sent again without a window, and the last attempt is still pending at the deadline, so that it fails. Change: the test also requires that each further attempt must be written within the window.

--- a/routing/repeats_test.go
+++ b/routing/repeats_test.go
@@ -68,9 +68,19 @@
 	require.Equal(read.t, 1, countKind(actions, Reject)+countKind(actions, Fail), "%v", actions)
 }
 
+// requireLimitedRepeats requires that each attempt that the actions send must be written within the window.
+func (read *hedgedRead) requireLimitedRepeats(actions []Action) {
+	read.t.Helper()
+	for _, action := range actions {
+		if action.Kind == Send {
+			require.Equal(read.t, Repeatable, action.Limit.Condition, "%v", action)
+		}
+	}
+}
+
 // A request of which one attempt may have run and another one certainly did not counts as one that may have run,
-// whichever was sent or ended first. Guards against a rejection, with which the client repeats what ran: the end of the
-// first attempt made the router forget the second one.
+// whichever was sent or ended first. Guards against a rejection, with which the client repeats what ran, and against
+// further attempts without a window: the end of the first attempt made the router forget the second one.
 func TestProofForOneAttemptIsNoProofForAnother(t *testing.T) {
 	mayHaveRun := []Status{NodeError, TimedOut, ConnectionBroken, Cancelled}
 	neverRan := []Status{NodeOverloaded, ConnectFailed, NotSent, NodeRejected, ConnectRefused}
@@ -88,7 +98,9 @@
 							read := newHedgedRead(t, group, 5*time.Second)
 							actions := read.end(firstToEnd, statuses[firstToEnd])
 							actions = append(actions, read.end(1-firstToEnd, statuses[1-firstToEnd])...)
-							read.requireFinalAnswer(finalAnswer, append(actions, read.untilDeadline()...))
+							actions = append(actions, read.untilDeadline()...)
+							read.requireFinalAnswer(finalAnswer, actions)
+							read.requireLimitedRepeats(actions)
 						})
 					}
 				}
