Check a Flight statement once gRPC is about to write it, and until it is written

Cause: freshness, drain and the client's presence were checked, and the time told to the database was computed, before gRPC was asked for the call. gRPC holds a call until the database allows one more stream, until its flow control admits the message, until the socket has room, or until a broken connection is replaced. Nothing was checked after that, and gRPC's OutPayload event says only that gRPC has taken the message.

Change: a call opens its stream first and is checked after that, directly before its message is handed over. The socket follows the HTTP/2 frames that gRPC writes, so that it is known when a message's last byte leaves; until then the attempt is checked every 10 ms and withdrawn if it may not be sent. A withdrawn message never leaves: if gRPC writes it all the same, the connection ends first. A message that does not leave within 0.1 s of its headers is withdrawn too, as the headers tell the time left.

The double of update_test.go implements the generic stream, with the same assertions; two recorded names of limits are new, no value changed.

--- a/internal/flight/attempt.go
+++ b/internal/flight/attempt.go
@@ -6,8 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/apache/arrow-go/v18/arrow/flight"
-	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
 
 	"capercove/internal/core"
@@ -28,7 +26,9 @@
 	heldUp     time.Duration    // for which the client took no message; used by run alone
 	accepted   bool             // the database has sent a ticket or a result; written by run, read once that has ended
 	evidence   routing.Evidence // what the database last reported of itself; likewise
-	written    atomic.Bool      // a message was handed to the connection, and may arrive; used on any goroutine
+	message    *outgoingMessage // of the latest call; nil before; used by run and end alone
+	// mayHaveArrived is set once the last byte of a message is handed to the operating system; used on any goroutine.
+	mayHaveArrived atomic.Bool
 }
 
 func newAttempt(
@@ -46,6 +46,9 @@
 
 // end releases what the attempt holds, once it has run.
 func (attempt *attempt) end() {
+	if attempt.message != nil {
+		attempt.message.withdraw() // if gRPC still holds it
+	}
 	attempt.timeLimit.Stop()
 	attempt.cancel(nil)
 }
@@ -65,22 +68,20 @@
 	if err != nil {
 		return nil, &attemptError{withdrawn, err}
 	}
-	if !attempt.mayBeSent() {
-		return nil, &attemptError{withdrawn, errMayNotBeSent}
-	}
-	client := flight.NewFlightServiceClient(attempt.connection.client)
 	if attempt.statement.isUpdate {
-		answer, err = attempt.update(client, descriptor)
+		answer, err = attempt.update(descriptor)
 	} else {
-		err = attempt.query(client, descriptor)
+		err = attempt.query(descriptor)
 	}
-	if err != nil && attempt.isTimedOut() {
+	switch {
+	case err == nil:
+		return answer, nil
+	case errors.Is(context.Cause(attempt.ctx), errMayNotBeSent):
+		return nil, attempt.refusal()
+	case attempt.isTimedOut():
 		err = status.FromContextError(context.DeadlineExceeded).Err()
 	}
-	if err != nil {
-		return nil, callError(err, attempt.written.Load())
-	}
-	return answer, nil
+	return nil, callError(err, attempt.mayHaveArrived.Load())
 }
 
 // openError returns why there is no connection.
@@ -94,25 +95,18 @@
 	return &attemptError{unreachable, errNoConnection}
 }
 
-// callContext returns the context of a call that goes out now. It gives the database what is left of the client's time.
-func (attempt *attempt) callContext() context.Context {
-	headers := attempt.statement.headers(attempt.Deadline - attempt.backend.core.Now())
-	ctx := metadata.NewOutgoingContext(attempt.ctx, headers)
-	return context.WithValue(ctx, attemptKey{}, attempt)
-}
-
-// noteWritten notes that a message of the attempt was handed to the connection. gRPC's goroutines call it.
+// noteWritten notes that a message of the attempt has been handed to the operating system. Any goroutine may call it.
 func (attempt *attempt) noteWritten() {
-	attempt.written.Store(true)
 	attempt.backend.runOnLoop(func() { attempt.backend.core.Written(attempt.Attempt) })
 }
 
 // mayBeSent reports whether the statement may be sent now, in view of all that the client has sent by now, such as the
-// cancelling of its call.
-func (attempt *attempt) mayBeSent() bool {
+// cancelling of its call, and of the time that the database was told.
+func (attempt *attempt) mayBeSent(told timeTold) bool {
 	attempt.statement.call.socket.settle(attempt.ctx, attempt.backend.limits.SettleTimeout)
 	return attempt.askOnLoop(func() bool {
-		return attempt.connection.isValid() && attempt.backend.core.MaySend(attempt.Attempt)
+		requests := attempt.backend.core
+		return attempt.connection.isValid() && requests.Now() < told.until && requests.MaySend(attempt.Attempt)
 	})
 }
 
--- a/internal/flight/attempterrors.go
+++ b/internal/flight/attempterrors.go
@@ -79,16 +79,17 @@
 var (
 	errTooManyConnections = errors.New("too many connections to databases, and all carry calls")
 	errNoConnection       = errors.New("no connection to the database")
+	errSocketReplaced     = errors.New("the connection to the database was replaced")
 	errMayNotBeSent       = errors.New("the statement may not be sent any more")
 	errRequestOver        = status.Error(codes.Canceled, "the request is over")
 	errNotOneEndpoint     = errors.New("the database's answer has not one endpoint of its own")
 	errSecondAnswer       = errors.New("the database has sent more than one answer to an update")
 )
 
-// callError classifies an error that a call to a database returned. Written reports whether a message of the
-// attempt was handed to the connection and may have arrived. Only the codes that gRPC itself never makes up, or that
+// callError classifies an error that a call to a database returned. mayHaveArrived reports whether the last byte of a
+// message of the attempt was handed to the operating system. Only the codes that gRPC itself never makes up, or that
 // carry RetryInfo, prove that nothing ran.
-func callError(cause error, written bool) *attemptError {
+func callError(cause error, mayHaveArrived bool) *attemptError {
 	var known *attemptError
 	if errors.As(cause, &known) {
 		return known
@@ -108,7 +109,7 @@
 		kind = timedOut
 	case codes.Unavailable, codes.Canceled:
 		kind = connectionLost
-		if !written {
+		if !mayHaveArrived {
 			kind = unreachable
 		}
 	}
--- a/internal/flight/callobserver.go
+++ b/internal/flight/callobserver.go
@@ -7,7 +7,7 @@
 )
 
 // callObserver is gRPC's handler for the events of calls to databases. It cancels an attempt that gRPC is about to
-// retry on its own, and notes when a message of one is handed to the connection.
+// retry on its own.
 type callObserver struct{}
 
 // attemptKey is the key of the attempt in a call's context.
@@ -22,13 +22,8 @@
 	if !ok {
 		return
 	}
-	switch event := event.(type) {
-	case *stats.Begin:
-		if event.IsTransparentRetryAttempt {
-			running.Cancel()
-		}
-	case *stats.OutPayload:
-		running.noteWritten()
+	if begin, ok := event.(*stats.Begin); ok && begin.IsTransparentRetryAttempt {
+		running.Cancel()
 	}
 }
 
--- a/internal/flight/connection.go
+++ b/internal/flight/connection.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/connectivity"
+	"google.golang.org/grpc/status"
 )
 
 // connection is a connection to a database. It carries any number of calls. But for open and the fields that say
@@ -18,6 +19,11 @@
 	lastUsed time.Duration    // when an attempt last began to use it
 	retired  bool             // it gets no further attempts, and is closed after the last call
 
+	// socket is the latest that was dialled; nil before the first one. It is used on any goroutine.
+	socket atomic.Pointer[databaseSocket]
+	// opening holds one element while a stream is being opened, so that streams are registered in their order.
+	opening chan struct{}
+
 	// localShortage is set while the last dial failed for a shortage on this machine, and is being retried.
 	localShortage atomic.Bool
 
@@ -50,6 +56,32 @@
 	}
 }
 
+// openStream opens a stream for a call of an attempt, and returns it with the call's message, which is yet to be
+// written. It waits for as long as gRPC does, such as until the database allows one more stream. It may be called on
+// any goroutine once open has returned true.
+func (connection *connection) openStream(
+	ctx context.Context, method string, running *attempt,
+) (grpc.ClientStream, *outgoingMessage, error) {
+	select {
+	case connection.opening <- struct{}{}:
+		defer func() { <-connection.opening }()
+	case <-ctx.Done():
+		return nil, nil, status.FromContextError(ctx.Err()).Err()
+	}
+	socket := connection.socket.Load()
+	stream, err := connection.client.NewStream(ctx, &oneRequest, method)
+	if err != nil {
+		return nil, nil, err
+	}
+	message := socket.register(running)
+	if replacement := connection.socket.Load(); replacement != socket { // the stream may be on either
+		message.withdraw()
+		replacement.loseTrack()
+		return nil, nil, &attemptError{withdrawn, errSocketReplaced}
+	}
+	return stream, message, nil
+}
+
 // isValid reports whether attempts may still begin on the connection. It may be called on any goroutine.
 func (connection *connection) isValid() bool { return connection.valid.Err() == nil }
 
--- a/internal/flight/connections.go
+++ b/internal/flight/connections.go
@@ -57,9 +57,15 @@
 
 // create makes a connection that is not dialled yet.
 func (connections *connections) create(address string) (*connection, error) {
-	created := &connection{address: address}
+	created := &connection{address: address, opening: make(chan struct{}, 1)}
 	dial := func(ctx context.Context, address string) (net.Conn, error) {
-		return connections.dialer.dial(ctx, address, &created.localShortage)
+		opened, err := connections.dialer.dial(ctx, address, &created.localShortage)
+		if err != nil {
+			return nil, err
+		}
+		socket := newDatabaseSocket(opened)
+		created.socket.Store(socket)
+		return socket, nil
 	}
 	client, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
--- /dev/null
+++ b/internal/flight/outgoingcall.go
@@ -0,0 +1,108 @@
+package flight
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/protobuf/proto"
+)
+
+// The methods of a database that are called.
+const (
+	methodGetFlightInfo = "/arrow.flight.protocol.FlightService/GetFlightInfo"
+	methodDoGet         = "/arrow.flight.protocol.FlightService/DoGet"
+	methodDoPut         = "/arrow.flight.protocol.FlightService/DoPut"
+)
+
+// oneRequest describes a call with one message to the database, which ends the database's side of the stream, and any
+// number of messages from it. All methods are called so: gRPC then opens the stream first and writes the message later.
+var oneRequest = grpc.StreamDesc{ServerStreams: true}
+
+// minWriteRate is how fast a message is taken to reach the operating system at least, in bytes per second.
+const minWriteRate = 1 << 20
+
+// timeTold is the time that is left of an attempt as its database is told it, in the headers of a call.
+type timeTold struct {
+	left  time.Duration // as the headers have it
+	until time.Duration // on the core's clock: the message must have left by then, or the database is told too much
+}
+
+// tellTime returns what a database is told with a message of so many bytes. The message follows the headers later,
+// which gRPC writes when it opens the stream: the time that a long one needs is subtracted.
+func (attempt *attempt) tellTime(size int) timeTold {
+	now := attempt.backend.core.Now()
+	toWrite := time.Duration(size) * time.Second / minWriteRate
+	return timeTold{
+		left:  attempt.Deadline - now - toWrite,
+		until: now + toWrite + attempt.backend.limits.MaxHeaderAge,
+	}
+}
+
+// call begins a call to the database: it opens a stream, checks what allowed the statement, and writes the request. The
+// check comes after the stream is open, as gRPC lets a call wait until the database allows one more.
+func (attempt *attempt) call(method string, request proto.Message) (grpc.ClientStream, error) {
+	told := attempt.tellTime(proto.Size(request))
+	ctx := metadata.NewOutgoingContext(attempt.ctx, attempt.statement.headers(told.left))
+	ctx = context.WithValue(ctx, attemptKey{}, attempt)
+	stream, message, err := attempt.connection.openStream(ctx, method, attempt)
+	if err != nil {
+		return nil, err
+	}
+	attempt.message = message
+	if !attempt.mayBeSent(told) {
+		message.withdraw()
+		return nil, attempt.refusal()
+	}
+	// With io.EOF the call has ended, and a receive returns why.
+	if err := stream.SendMsg(request); err != nil && !errors.Is(err, io.EOF) {
+		return nil, err
+	}
+	attempt.watchWrite(message, told)
+	return stream, nil
+}
+
+// watchWrite checks again what allowed the statement, for as long as a part of its message waits in gRPC or for room in
+// the socket.
+func (attempt *attempt) watchWrite(message *outgoingMessage, told timeTold) {
+	interval := attempt.backend.limits.WriteRecheckInterval
+	var timer *time.Timer
+	started := make(chan struct{})
+	timer = time.AfterFunc(interval, func() {
+		<-started
+		switch {
+		case attempt.ctx.Err() != nil || message.isWritten():
+		case attempt.mayBeSent(told):
+			timer.Reset(interval)
+		case message.withdraw():
+			attempt.cancel(errMayNotBeSent)
+		case !message.isWritten(): // it is on its way into a socket that has no room
+			_ = message.socket.Close() // fails only if it is closed already
+		}
+	})
+	close(started)
+}
+
+// refusal returns why the attempt ends if it may not be sent any more. If the database has given out a ticket, the
+// statement may have run.
+func (attempt *attempt) refusal() *attemptError {
+	if attempt.accepted {
+		return &attemptError{unfetched, errMayNotBeSent}
+	}
+	return &attemptError{withdrawn, errMayNotBeSent}
+}
+
+// receiveLast receives the end of a stream of which one message was expected. It returns nil if the stream is complete,
+// and surplus if another message came.
+func receiveLast(stream grpc.ClientStream, into proto.Message, surplus error) error {
+	switch err := stream.RecvMsg(into); {
+	case errors.Is(err, io.EOF):
+		return nil
+	case err != nil:
+		return err
+	}
+	return surplus
+}
--- a/internal/flight/stream.go
+++ b/internal/flight/stream.go
@@ -8,22 +8,18 @@
 
 	"github.com/apache/arrow-go/v18/arrow/flight"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
 )
 
 // query runs a query: it gets a ticket from the database, fetches that, and passes the stream on. By the protocol the
-// database may execute the statement when it is asked for the ticket.
-func (attempt *attempt) query(client flight.FlightServiceClient, descriptor *flight.FlightDescriptor) error {
-	ticket, err := attempt.ticket(client, descriptor)
+// database may execute the statement when it is asked for the ticket. What allowed the statement is checked again
+// before the fetch: a database that executes it only then must not begin if it has run out.
+func (attempt *attempt) query(descriptor *flight.FlightDescriptor) error {
+	ticket, err := attempt.ticket(descriptor)
 	if err != nil {
 		return err
 	}
-	// What allowed the statement may have run out since. A database that executes it only now must not begin.
-	if !attempt.mayBeSent() {
-		return &attemptError{unfetched, errMayNotBeSent}
-	}
-	stream, err := client.DoGet(attempt.callContext(), ticket)
+	stream, err := attempt.call(methodDoGet, ticket)
 	if err != nil {
 		return err
 	}
@@ -31,16 +27,16 @@
 }
 
 // ticket asks the database for the ticket of a query.
-func (attempt *attempt) ticket(
-	client flight.FlightServiceClient, descriptor *flight.FlightDescriptor,
-) (*flight.Ticket, error) {
-	var header, trailer metadata.MD
-	info, err := client.GetFlightInfo(attempt.callContext(), descriptor, grpc.Header(&header), grpc.Trailer(&trailer))
-	attempt.evidence = parseEvidence(header, trailer)
+func (attempt *attempt) ticket(descriptor *flight.FlightDescriptor) (*flight.Ticket, error) {
+	stream, err := attempt.call(methodGetFlightInfo, descriptor)
+	if err != nil {
+		return nil, err
+	}
+	info, err := attempt.receiveInfo(stream)
+	attempt.readEvidence(stream)
 	if err != nil {
 		return nil, err
 	}
-	attempt.accepted = true
 	endpoints := info.GetEndpoint()
 	isOneOfItsOwn := len(endpoints) == 1 && len(endpoints[0].GetLocation()) == 0
 	if !isOneOfItsOwn {
@@ -49,9 +45,22 @@
 	return endpoints[0].Ticket, nil
 }
 
+// receiveInfo returns the one message with the ticket.
+func (attempt *attempt) receiveInfo(stream grpc.ClientStream) (*flight.FlightInfo, error) {
+	info := new(flight.FlightInfo)
+	if err := stream.RecvMsg(info); err != nil {
+		return nil, err
+	}
+	attempt.accepted = true
+	if err := receiveLast(stream, new(flight.FlightInfo), errNotOneEndpoint); err != nil {
+		return nil, err
+	}
+	return info, nil
+}
+
 // relay passes a stream on, message by message. The schema, which comes first, is held back until the first batch or
 // the end of the stream has come: if the stream breaks before, the request may still go to another database.
-func (attempt *attempt) relay(stream flight.FlightService_DoGetClient) error {
+func (attempt *attempt) relay(stream grpc.ClientStream) error {
 	schema, err := attempt.receive(stream)
 	var batch *flight.FlightData
 	if err == nil {
@@ -80,9 +89,9 @@
 
 // receive returns the next message of a stream. Its error is io.EOF at the end of a complete one; with any error comes
 // what the database reports of itself.
-func (attempt *attempt) receive(stream flight.FlightService_DoGetClient) (*flight.FlightData, error) {
-	message, err := stream.Recv()
-	if err != nil {
+func (attempt *attempt) receive(stream grpc.ClientStream) (*flight.FlightData, error) {
+	message := new(flight.FlightData)
+	if err := stream.RecvMsg(message); err != nil {
 		attempt.readEvidence(stream)
 		return nil, err
 	}
--- a/internal/flight/update_test.go
+++ b/internal/flight/update_test.go
@@ -3,26 +3,26 @@
 import (
 	"testing"
 
-	"github.com/apache/arrow-go/v18/arrow/flight"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 )
 
 // scriptedPut is the stream of an update whose answer consists of so many results and an error.
 type scriptedPut struct {
-	flight.FlightService_DoPutClient
+	grpc.ClientStream
 	results int
 	end     error
 }
 
-// Recv implements flight.FlightService_DoPutClient.
-func (stream *scriptedPut) Recv() (*flight.PutResult, error) {
+// RecvMsg implements grpc.ClientStream.
+func (stream *scriptedPut) RecvMsg(any) error {
 	if stream.results == 0 {
-		return nil, stream.end
+		return stream.end
 	}
 	stream.results--
-	return &flight.PutResult{}, nil
+	return nil
 }
 
 // Guards against an update that is sent again after its database has answered with a result, as an error that follows
--- a/internal/limits/flight.go
+++ b/internal/limits/flight.go
@@ -35,6 +35,10 @@
 	ConnectTimeout time.Duration
 	// SettleTimeout is how long a call waits for what its client has already sent, such as its cancellation.
 	SettleTimeout time.Duration
+	// MaxHeaderAge is how old the time that a database was told may be when the statement follows.
+	MaxHeaderAge time.Duration
+	// WriteRecheckInterval is the time between two checks of a statement that is not written whole.
+	WriteRecheckInterval time.Duration
 	// ChunkTimeout is the time for the next message of a stream, once its answer has begun.
 	ChunkTimeout time.Duration
 	// StreamTimeout is the time in all for which the client may hold up a stream.
@@ -66,6 +70,8 @@
 		MessageTimeout:         messageTimeout,
 		ConnectTimeout:         timeouts.Connect,
 		SettleTimeout:          flightSettleTimeout,
+		MaxHeaderAge:           maxHeaderAge,
+		WriteRecheckInterval:   writeRecheckTicks * timerTick,
 		ChunkTimeout:           chunkTimeout,
 		StreamTimeout:          streamTimeout,
 		LingerTimeout:          lingerTimeout,
--- a/internal/limits/names_test.go
+++ b/internal/limits/names_test.go
@@ -64,6 +64,8 @@
 	"Flight.StartupTimeout":         "Startup",
 	"Flight.ConnectTimeout":         "ConnectTimeout",
 	"Flight.SettleTimeout":          "FlightSettle",
+	"Flight.MaxHeaderAge":           "Flight.MaxHeaderAge",
+	"Flight.WriteRecheckInterval":   "Flight.WriteRecheckInterval",
 	"Flight.ChunkTimeout":           "PieceWait",
 	"Flight.StreamTimeout":          "AnswerLongest",
 	"Flight.MaxCallsPerConnection":  "Flight.MaxCallsPerConnection",
--- a/internal/testbed/database.go
+++ b/internal/testbed/database.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc"
 
 	"capercove/internal/clock"
 	"capercove/internal/discovery"
@@ -22,23 +23,24 @@
 type Database struct {
 	ID, Addr, Flight string // Flight is empty unless WithFlight is used
 
-	t           *testing.T
-	primary     atomic.Bool
-	clockOffset atomic.Int64          // in milliseconds, see ClockAhead
-	loadReport  atomic.Value          // string, see SetLoadReport
-	released    chan struct{}         // closed by Release
-	cores       chan struct{}         // one element for each core in use; nil: statements take no time
-	mu          sync.Mutex            // guards all below
-	statements  []receivedStatement   // health checks left out
-	handshakes  int                   // on the PostgreSQL wire
-	deadlines   map[string][]string   // by statement, see Deadlines
-	executions  map[string]int        // of statements that write, by their ID
-	misrouted   int                   // statements that write and were rejected, since this was no primary
-	probes      int                   // health checks
-	tickets     int                   // requests for a ticket that were delayed
-	abandoned   int                   // unanswered statements and endless streams that the pooler ended
-	frozen      bool                  // see Freeze
-	connections map[net.Conn]struct{} // that were accepted and not cut
+	t             *testing.T
+	primary       atomic.Bool
+	clockOffset   atomic.Int64          // in milliseconds, see ClockAhead
+	loadReport    atomic.Value          // string, see SetLoadReport
+	released      chan struct{}         // closed by Release
+	flightOptions []grpc.ServerOption   // of the Flight SQL server
+	cores         chan struct{}         // one element for each core in use; nil: statements take no time
+	mu            sync.Mutex            // guards all below
+	statements    []receivedStatement   // health checks left out
+	handshakes    int                   // on the PostgreSQL wire
+	deadlines     map[string][]string   // by statement, see Deadlines
+	executions    map[string]int        // of statements that write, by their ID
+	misrouted     int                   // statements that write and were rejected, since this was no primary
+	probes        int                   // health checks
+	tickets       int                   // requests for a ticket that were delayed
+	abandoned     int                   // unanswered statements and endless streams that the pooler ended
+	frozen        bool                  // see Freeze
+	connections   map[net.Conn]struct{} // that were accepted and not cut
 }
 
 // receivedStatement is a statement with the time at which it was received.
--- a/internal/testbed/database_flight.go
+++ b/internal/testbed/database_flight.go
@@ -29,7 +29,7 @@
 func (d *Database) serveFlight() {
 	listener := d.listen()
 	d.Flight = listener.Addr().String()
-	server := grpc.NewServer()
+	server := grpc.NewServer(d.flightOptions...)
 	flight.RegisterFlightServiceServer(server, flightsql.NewFlightServer(&flightServer{database: d}))
 	go func() { _ = server.Serve(listener) }() // until Stop
 	d.t.Cleanup(server.Stop)
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc"
 
 	"capercove/internal/addresses"
 	"capercove/internal/discovery"
@@ -92,6 +93,16 @@
 	}
 }
 
+// WithFlightStreams is WithFlight with databases that allow so many calls at once on a connection.
+func WithFlightStreams(limit uint32) Option {
+	return func(b *Bed) {
+		for _, database := range b.Databases {
+			database.flightOptions = append(database.flightOptions, grpc.MaxConcurrentStreams(limit))
+		}
+		WithFlight(b)
+	}
+}
+
 // WithName names the pooler; the default is n0.
 func WithName(name string) Option { return func(b *Bed) { b.name = name } }
 
