Give each Flight attempt a stream that its database allows

Cause: one connection to each database carried all calls, however few the database allows at once, so that gRPC held the others back.

Change: the socket follows the settings that the database sends. An attempt reserves a stream on a connection that has one free, by SETTINGS_MAX_CONCURRENT_STREAMS and the settings' allowed.streamsPerConn, the lower; where there is none, another connection is opened, within the same bound as before. While a database has not told yet, attempts share a connection, and those above the number move on. A reload changes the timeout for connecting and the number of streams on this wire too; the timeout stayed as it was at the start.

Tests: TestAttemptsGetStreamsOfTheirOwn and TestAttemptsMoveWhereFewerStreamsAreAllowedThanExpected are new. The test of the bound on connections asserts what it did, and their number too.

--- a/internal/flight/attempt.go
+++ b/internal/flight/attempt.go
@@ -9,6 +9,7 @@
 	"google.golang.org/grpc/status"
 
 	"capercove/internal/core"
+	"capercove/internal/limits"
 	"capercove/routing"
 )
 
@@ -18,15 +19,19 @@
 	*core.Attempt
 
 	backend    *Backend
-	connection *connection
-	statement  *statement
-	ctx        context.Context // over at the time limit, or once the attempt is cancelled
-	cancel     context.CancelCauseFunc
-	timeLimit  *time.Timer      // at first the deadline, then of the next message; see bindRequest
-	heldUp     time.Duration    // for which the client took no message; used by run alone
-	accepted   bool             // the database has sent a ticket or a result; written by run, read once that has ended
-	evidence   routing.Evidence // what the database last reported of itself; likewise
-	message    *outgoingMessage // of the latest call; nil before; used by run and end alone
+	limits     limits.Flight // as they were when it began
+	reserved   *connection   // on which it has a stream; used on the event loop alone
+	connection *connection   // likewise, but used by run alone
+	// isConfirmed reports whether the database was known to allow the stream when it was reserved.
+	isConfirmed bool
+	statement   *statement
+	ctx         context.Context // over at the time limit, or once the attempt is cancelled
+	cancel      context.CancelCauseFunc
+	timeLimit   *time.Timer      // at first the deadline, then of the next message; see bindRequest
+	heldUp      time.Duration    // for which the client took no message; used by run alone
+	accepted    bool             // the database has sent a ticket or a result; written by run, read once that has ended
+	evidence    routing.Evidence // what the database last reported of itself; likewise
+	message     *outgoingMessage // of the latest call; nil before; used by run and end alone
 	// mayHaveArrived is set once the last byte of a message is handed to the operating system; used on any goroutine.
 	mayHaveArrived atomic.Bool
 }
@@ -34,7 +39,16 @@
 func newAttempt(
 	backend *Backend, connection *connection, statement *statement, coreAttempt *core.Attempt,
 ) *attempt {
-	created := &attempt{Attempt: coreAttempt, backend: backend, connection: connection, statement: statement}
+	created := &attempt{
+		Attempt:    coreAttempt,
+		backend:    backend,
+		limits:     backend.limits,
+		reserved:   connection,
+		connection: connection,
+		statement:  statement,
+	}
+	_, isKnown := connection.allowedStreams()
+	created.isConfirmed = isKnown && backend.connections.confirm(connection)
 	created.ctx, created.cancel = context.WithCancelCause(backend.attemptsContext)
 	left := coreAttempt.Deadline - backend.core.Now()
 	created.timeLimit = time.AfterFunc(left, func() { created.cancel(context.DeadlineExceeded) })
@@ -61,8 +75,8 @@
 // run carries the statement to the database. The answer is the encoded result of an update; a stream's messages have
 // been passed on.
 func (attempt *attempt) run() (answer []byte, failure *attemptError) {
-	if !attempt.connection.open(attempt.ctx, attempt.backend.limits.ConnectTimeout) {
-		return nil, attempt.openError()
+	if failure := attempt.open(); failure != nil {
+		return nil, failure
 	}
 	descriptor, err := attempt.statement.descriptor()
 	if err != nil {
@@ -84,6 +98,28 @@
 	return nil, callError(err, attempt.mayHaveArrived.Load())
 }
 
+// open waits for a connection that is up and on which the database allows a stream for the attempt.
+func (attempt *attempt) open() *attemptError {
+	for {
+		if !attempt.connection.open(attempt.ctx, attempt.limits.ConnectTimeout) {
+			return attempt.openError()
+		}
+		if attempt.isConfirmed {
+			return nil
+		}
+		confirmed, ok := ask(attempt, func() *connection { return attempt.backend.move(attempt) })
+		switch {
+		case !ok:
+			return &attemptError{withdrawn, errMayNotBeSent}
+		case confirmed == nil:
+			return &attemptError{localShortage, errNoStream}
+		case confirmed == attempt.connection:
+			return nil
+		}
+		attempt.connection = confirmed
+	}
+}
+
 // openError returns why there is no connection.
 func (attempt *attempt) openError() *attemptError {
 	switch {
@@ -103,7 +139,7 @@
 // mayBeSent reports whether the statement may be sent now, in view of all that the client has sent by now, such as the
 // cancelling of its call, and of the time that the database was told.
 func (attempt *attempt) mayBeSent(told timeTold) bool {
-	attempt.statement.call.socket.settle(attempt.ctx, attempt.backend.limits.SettleTimeout)
+	attempt.statement.call.socket.settle(attempt.ctx, attempt.limits.SettleTimeout)
 	return attempt.askOnLoop(func() bool {
 		requests := attempt.backend.core
 		return attempt.connection.isValid() && requests.Now() < told.until && requests.MaySend(attempt.Attempt)
@@ -114,7 +150,7 @@
 // request is over or another attempt answers it. From then on the time limit is that of the next message.
 func (attempt *attempt) bindRequest() bool {
 	isBound := attempt.askOnLoop(func() bool { return attempt.backend.core.AnswerStreams(attempt.Attempt) })
-	return isBound && attempt.extendTimeLimit(attempt.backend.limits.ChunkTimeout)
+	return isBound && attempt.extendTimeLimit(attempt.limits.ChunkTimeout)
 }
 
 // extendTimeLimit sets the time limit anew. It returns false if it is over already.
@@ -124,12 +160,18 @@
 
 // askOnLoop returns what a function returns on the event loop, or false if the attempt ends first.
 func (attempt *attempt) askOnLoop(question func() bool) bool {
-	answers := make(chan bool, 1)
+	answer, ok := ask(attempt, question)
+	return ok && answer
+}
+
+// ask returns what a function returns on the event loop. ok is false if the attempt ends first.
+func ask[T any](attempt *attempt, question func() T) (answer T, ok bool) {
+	answers := make(chan T, 1)
 	attempt.backend.runOnLoop(func() { answers <- question() })
 	select {
-	case answer := <-answers:
-		return answer
+	case answer = <-answers:
+		return answer, true
 	case <-attempt.ctx.Done():
-		return false
+		return answer, false
 	}
 }
--- a/internal/flight/attempterrors.go
+++ b/internal/flight/attempterrors.go
@@ -78,6 +78,7 @@
 // Causes of failures that no call to a database reported.
 var (
 	errTooManyConnections = errors.New("too many connections to databases, and all carry calls")
+	errNoStream           = errors.New("the database allows no call")
 	errNoConnection       = errors.New("no connection to the database")
 	errSocketReplaced     = errors.New("the connection to the database was replaced")
 	errMayNotBeSent       = errors.New("the statement may not be sent any more")
--- a/internal/flight/backend.go
+++ b/internal/flight/backend.go
@@ -52,6 +52,28 @@
 	return waitgroup.Wait(&backend.attempts, wait)
 }
 
+// Reconfigure sets the bounds that depend on the settings: the timeout for connecting and the number of streams on a
+// connection. It changes nothing for attempts that run. It must be called on the event loop.
+func (backend *Backend) Reconfigure(bounds limits.Flight) {
+	backend.limits.ConnectTimeout = bounds.ConnectTimeout
+	backend.connections.maxStreams = bounds.MaxStreamsPerConnection
+}
+
+// move gives an attempt another connection if its database allows fewer streams than it was reserved one of. It returns
+// nil if there is none.
+func (backend *Backend) move(running *attempt) *connection {
+	if backend.connections.confirm(running.reserved) {
+		return running.reserved
+	}
+	next, failure := backend.connections.reserve(running.Member, backend.core.Now())
+	if failure != nil {
+		return nil
+	}
+	backend.connections.release(running.reserved)
+	running.reserved = next
+	return next
+}
+
 // Changed drops the connection to a database that is gone, excluded, or at another address. What was already written on
 // it runs to its end. What still waits for it goes back to the router: it must neither wait in vain, nor reach a
 // database that operators have excluded, nor reach another database that has the address now.
@@ -62,12 +84,11 @@
 
 // send begins an attempt of a statement.
 func (backend *Backend) send(statement *statement, coreAttempt *core.Attempt) core.Transmission {
-	connection, failure := backend.connections.to(coreAttempt.Member, backend.core.Now())
+	connection, failure := backend.connections.reserve(coreAttempt.Member, backend.core.Now())
 	if failure != nil {
 		backend.core.Done(coreAttempt, failure.status(), routing.Evidence{}, nil)
 		return nil
 	}
-	connection.calls++
 	running := newAttempt(backend, connection, statement, coreAttempt)
 	backend.attempts.Go(func() {
 		answer, failure := running.run()
@@ -81,9 +102,9 @@
 func (backend *Backend) finish(ended *attempt, answer []byte, failure *attemptError) {
 	neverAnswered := failure != nil && failure.kind == timedOut && !ended.accepted
 	if neverAnswered { // the connection to a database that was cut off would stay open and silent for ever
-		backend.connections.retire(ended.Member.ID, ended.connection)
+		backend.connections.retire(ended.reserved)
 	}
-	ended.connection.release()
+	backend.connections.release(ended.reserved)
 	if ended.accepted {
 		backend.core.Accepted(ended.Attempt)
 	}
--- a/internal/flight/backend_test.go
+++ b/internal/flight/backend_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"math"
+	"net"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -34,33 +36,35 @@
 	}
 }
 
+// memberNumber returns a database with a number.
+func memberNumber(id routing.NodeID) *core.Member {
+	node := routing.Node{ID: id, State: routing.Ready}
+	return &core.Member{Node: node, Name: fmt.Sprint(id), Addr: "127.0.0.1:2"}
+}
+
 // There are no more connections to databases than the limit: the least recently used one without a call is evicted, and
 // if all carry calls there is none for another database.
 func TestConnectionsToDatabasesAreBounded(t *testing.T) {
-	bounds := limits.Flight{MaxDatabaseConnections: 3}
+	bounds := limits.Flight{MaxDatabaseConnections: 3, MaxIdlePerDatabase: 1, MaxStreamsPerConnection: 10}
 	backend := NewBackend(Config{ServerPort: 1}, bounds, zerolog.Nop(), nil, runAtOnce, nil)
 	t.Cleanup(func() { require.NoError(t, backend.Close(waitLimit)) })
 	open := &backend.connections
-	member := func(id routing.NodeID) *core.Member {
-		node := routing.Node{ID: id, State: routing.Ready}
-		return &core.Member{Node: node, Name: fmt.Sprint(id), Addr: "127.0.0.1:2"}
-	}
 	use := func(id routing.NodeID) *connection {
 		t.Helper()
-		used, failure := open.to(member(id), time.Duration(len(open.byNode)))
+		used, failure := open.reserve(memberNumber(id), time.Duration(len(open.byNode)))
 		require.Nil(t, failure)
-		used.calls++
 		return used
 	}
 	first, second := use(1), use(2)
 	use(3)
-	_, failure := open.to(member(4), time.Second)
+	_, failure := open.reserve(memberNumber(4), time.Second)
 	require.ErrorIs(t, failure, errTooManyConnections)
 	require.Equal(t, localShortage, failure.kind)
 	second.calls, first.calls = 0, 0
 	second.lastUsed, first.lastUsed = 1, 2
 	use(4)
 	require.Len(t, open.byNode, 3)
+	require.Equal(t, 3, open.open)
 	require.NotContains(t, open.byNode, routing.NodeID(2), "used less recently than the other one")
 	require.True(t, second.retired)
 	again := use(1)
@@ -93,3 +97,81 @@
 	require.False(t, closedBefore.Load())
 	require.Empty(t, backend.connections.byNode)
 }
+
+// tell notes that a database allows so many streams on a connection, as its settings do.
+func tell(t *testing.T, connection *connection, allowed int64) {
+	t.Helper()
+	client, server := net.Pipe()
+	t.Cleanup(func() { _ = client.Close(); _ = server.Close() })
+	socket := newDatabaseSocket(client)
+	socket.allowed.Store(allowed)
+	connection.socket.Store(socket)
+}
+
+// An attempt gets a connection on which the database and the settings allow one more stream. Guards against a call that
+// waits in gRPC until others end, although another connection or another database could carry it.
+func TestAttemptsGetStreamsOfTheirOwn(t *testing.T) {
+	for _, test := range []struct {
+		told       int64
+		setting    int
+		perConnect int // attempts that one connection carries
+	}{
+		{1, 10, 1}, {4, 10, 4}, {8, 10, 8}, {100, 10, 10}, {4, 1, 1}, {math.MaxUint32, math.MaxInt32, 90},
+	} {
+		bounds := limits.Flight{
+			MaxDatabaseConnections: 90, MaxIdlePerDatabase: 2, MaxStreamsPerConnection: test.setting,
+		}
+		backend := NewBackend(Config{ServerPort: 1}, bounds, zerolog.Nop(), nil, runAtOnce, nil)
+		open := &backend.connections
+		used := map[*connection]int{}
+		for range 90 {
+			reserved, failure := open.reserve(memberNumber(1), 0)
+			require.Nil(t, failure)
+			tell(t, reserved, test.told)
+			used[reserved]++
+			require.LessOrEqual(t, used[reserved], test.perConnect, "%+v", test)
+		}
+		require.Len(t, used, (90+test.perConnect-1)/test.perConnect, "%+v", test)
+		for connection, calls := range used {
+			for range calls {
+				open.release(connection)
+			}
+		}
+		require.LessOrEqual(t, len(open.byNode[1]), 2, "those without a call are bounded")
+		require.Equal(t, len(open.byNode[1]), open.open)
+		require.NoError(t, backend.Close(waitLimit))
+	}
+}
+
+// Before a database has told how many streams it allows, attempts share a connection. Those above the number move on.
+func TestAttemptsMoveWhereFewerStreamsAreAllowedThanExpected(t *testing.T) {
+	const attempts, allowed = 10, 4
+	bounds := limits.Flight{MaxDatabaseConnections: 3, MaxIdlePerDatabase: 2, MaxStreamsPerConnection: math.MaxInt32}
+	backend := NewBackend(Config{ServerPort: 1}, bounds, zerolog.Nop(), newCore(newLimits(waitLimit)), runAtOnce, nil)
+	t.Cleanup(func() { require.NoError(t, backend.Close(waitLimit)) })
+	open, member := &backend.connections, memberNumber(1)
+	var all []*attempt
+	for range attempts {
+		reserved, failure := open.reserve(member, 0)
+		require.Nil(t, failure)
+		all = append(all, newAttempt(backend, reserved, &statement{}, &core.Attempt{Member: member}))
+		require.Same(t, all[0].reserved, reserved)
+	}
+	tell(t, all[0].reserved, allowed)
+	used := map[*connection]int{}
+	for _, moving := range all {
+		confirmed := backend.move(moving)
+		require.NotNil(t, confirmed)
+		require.Same(t, moving.reserved, confirmed)
+		used[confirmed]++
+		require.LessOrEqual(t, used[confirmed], allowed)
+		tell(t, confirmed, allowed)
+	}
+	require.Len(t, used, 3)
+	tell(t, all[0].reserved, 0)
+	for connection := range used {
+		tell(t, connection, 0)
+	}
+	_, failure := open.reserve(member, 0)
+	require.ErrorIs(t, failure, errNoStream, "a database that allows none is not dialled in vain")
+}
--- a/internal/flight/connection.go
+++ b/internal/flight/connection.go
@@ -8,14 +8,17 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/status"
+
+	"capercove/routing"
 )
 
-// connection is a connection to a database. It carries any number of calls. But for open and the fields that say
-// otherwise it is used on the event loop's goroutine alone.
+// connection is a connection to a database. It carries as many calls as the database and the settings allow. But for
+// open and the fields that say otherwise it is used on the event loop's goroutine alone.
 type connection struct {
+	node     routing.NodeID
 	address  string
 	client   *grpc.ClientConn // used on any goroutine
-	calls    int              // attempts that use it
+	calls    int              // attempts that use it, each for one stream at a time
 	lastUsed time.Duration    // when an attempt last began to use it
 	retired  bool             // it gets no further attempts, and is closed after the last call
 
@@ -85,10 +88,14 @@
 // isValid reports whether attempts may still begin on the connection. It may be called on any goroutine.
 func (connection *connection) isValid() bool { return connection.valid.Err() == nil }
 
-// release ends the use by one attempt.
-func (connection *connection) release() {
-	connection.calls--
-	connection.closeIfUnused()
+// allowedStreams returns how many streams the database allows at once, and false if it has not told yet.
+func (connection *connection) allowedStreams() (allowed int, isKnown bool) {
+	socket := connection.socket.Load()
+	if socket == nil {
+		return 0, false
+	}
+	told := socket.allowed.Load()
+	return int(told), told != streamsUnknown
 }
 
 // retire closes the connection once no attempt uses it.
--- a/internal/flight/databasesocket.go
+++ b/internal/flight/databasesocket.go
@@ -1,9 +1,13 @@
 package flight
 
 import (
+	"encoding/binary"
 	"errors"
+	"math"
 	"net"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"golang.org/x/net/http2"
 )
@@ -14,13 +18,24 @@
 // errMessageWithdrawn ends a connection on which gRPC is about to write the end of a message that was withdrawn.
 var errMessageWithdrawn = errors.New("a withdrawn message is about to be written")
 
-// databaseSocket is the socket of a connection to a database. It follows the HTTP/2 frames that gRPC writes, since gRPC
-// does not tell when the last byte of a message leaves: the message may wait for the database's flow control, or for
-// room in the socket. It is safe for concurrent use.
+// streamsUnknown is the number of streams that a database allows before it has told it.
+const streamsUnknown = -1
+
+// Lengths of a setting and of its identifier, in bytes. Source: RFC 9113, section 6.5.1.
+const (
+	settingBytes           = 6
+	settingIdentifierBytes = 2
+)
+
+// databaseSocket is the socket of a connection to a database. It follows the HTTP/2 frames that pass, since gRPC does
+// not tell how many streams the database allows, nor when the last byte of a message leaves: the message may wait for
+// the database's flow control, or for room in the socket. It is safe for concurrent use.
 type databaseSocket struct {
 	net.Conn
-	sent frameReader // used by Write alone, which gRPC calls on one goroutine
-	ends []uint32    // used by Write alone: see endsIn
+	received frameReader  // used by Read alone, which gRPC calls on one goroutine
+	allowed  atomic.Int64 // streams that the database allows at once; streamsUnknown before it has told
+	sent     frameReader  // used by Write alone, which gRPC calls on one goroutine
+	ends     []uint32     // used by Write alone: see endsIn
 
 	mu        sync.Mutex
 	streams   uint32                      // how many gRPC has opened
@@ -32,12 +47,38 @@
 }
 
 func newDatabaseSocket(opened net.Conn) *databaseSocket {
-	return &databaseSocket{
+	created := &databaseSocket{
 		Conn:      opened,
 		sent:      newClientFrameReader(),
 		messages:  map[uint32]*outgoingMessage{},
 		withdrawn: map[uint32]struct{}{},
 	}
+	created.allowed.Store(streamsUnknown)
+	return created
+}
+
+// Read implements net.Conn.
+func (socket *databaseSocket) Read(buffer []byte) (int, error) {
+	n, err := socket.Conn.Read(buffer)
+	socket.received.read(buffer[:n], func(frame http2.FrameHeader, payload []byte) {
+		if frame.Type == http2.FrameSettings && !frame.Flags.Has(http2.FlagSettingsAck) {
+			socket.applySettings(payload)
+		}
+	})
+	return n, err
+}
+
+// applySettings takes what the database allows from the payload of a frame of settings.
+func (socket *databaseSocket) applySettings(payload []byte) {
+	if socket.allowed.Load() == streamsUnknown {
+		socket.allowed.Store(math.MaxInt32) // a database that sets no limit has none
+	}
+	for ; len(payload) >= settingBytes; payload = payload[settingBytes:] {
+		identifier := http2.SettingID(binary.BigEndian.Uint16(payload))
+		if identifier == http2.SettingMaxConcurrentStreams {
+			socket.allowed.Store(int64(binary.BigEndian.Uint32(payload[settingIdentifierBytes:])))
+		}
+	}
 }
 
 // Write implements net.Conn. It writes nothing and returns errMessageWithdrawn if a message that was withdrawn ends in
@@ -118,6 +159,7 @@
 	if message != nil {
 		delete(socket.messages, stream)
 		message.state = messageWritten
+		message.stopTimer()
 	}
 	return message
 }
@@ -173,6 +215,7 @@
 	stream  uint32
 	attempt *attempt
 	state   messageState // guarded by socket.mu
+	timer   *time.Timer  // of afterUnwritten; nil if it was not called; likewise
 }
 
 // beginLeaving notes that the message may arrive from now on. The caller holds the socket's lock.
@@ -191,6 +234,7 @@
 		return message.state == messageWithdrawn
 	}
 	message.state = messageWithdrawn
+	message.stopTimer()
 	delete(socket.messages, message.stream)
 	if len(socket.withdrawn) >= maxWithdrawn {
 		delete(socket.withdrawn, socket.oldestWithdrawn())
@@ -199,6 +243,22 @@
 	return true
 }
 
+// afterUnwritten calls a function after a time, unless the operating system has all of the message by then.
+func (message *outgoingMessage) afterUnwritten(delay time.Duration, do func()) {
+	message.socket.mu.Lock()
+	defer message.socket.mu.Unlock()
+	if message.state == messageWaiting || message.state == messageLeaving {
+		message.timer = time.AfterFunc(delay, do)
+	}
+}
+
+// stopTimer ends the wait of afterUnwritten. The caller holds the socket's lock.
+func (message *outgoingMessage) stopTimer() {
+	if message.timer != nil {
+		message.timer.Stop()
+	}
+}
+
 // oldestWithdrawn returns the first stream whose message was withdrawn. The caller holds the lock.
 func (socket *databaseSocket) oldestWithdrawn() (oldest uint32) {
 	for stream := range socket.withdrawn {
--- a/internal/flight/dial_test.go
+++ b/internal/flight/dial_test.go
@@ -44,7 +44,7 @@
 // newUpdate returns an attempt of an update that is yet to run.
 func newUpdate(t *testing.T, backend *Backend, member *core.Member) *attempt {
 	t.Helper()
-	connection, failure := backend.connections.to(member, 0)
+	connection, failure := backend.connections.reserve(member, 0)
 	require.Nil(t, failure)
 	ctx, cancel := context.WithTimeout(t.Context(), waitLimit)
 	t.Cleanup(cancel)
--- a/internal/flight/outgoingcall.go
+++ b/internal/flight/outgoingcall.go
@@ -38,14 +38,19 @@
 	toWrite := time.Duration(size) * time.Second / minWriteRate
 	return timeTold{
 		left:  attempt.Deadline - now - toWrite,
-		until: now + toWrite + attempt.backend.limits.MaxHeaderAge,
+		until: now + toWrite + attempt.limits.MaxHeaderAge,
 	}
 }
 
-// call begins a call to the database: it opens a stream, checks what allowed the statement, and writes the request. The
-// check comes after the stream is open, as gRPC lets a call wait until the database allows one more.
+// call begins a call to the database: it checks what allowed the statement, opens a stream and writes the request. gRPC
+// may let a call wait for its stream, such as until the database allows one more; the check is repeated then. A check
+// before the stream lets gRPC write headers and message at once.
 func (attempt *attempt) call(method string, request proto.Message) (grpc.ClientStream, error) {
 	told := attempt.tellTime(proto.Size(request))
+	if !attempt.mayBeSent(told) {
+		return nil, attempt.refusal()
+	}
+	checked := time.Now()
 	ctx := metadata.NewOutgoingContext(attempt.ctx, attempt.statement.headers(told.left))
 	ctx = context.WithValue(ctx, attemptKey{}, attempt)
 	stream, message, err := attempt.connection.openStream(ctx, method, attempt)
@@ -53,7 +58,8 @@
 		return nil, err
 	}
 	attempt.message = message
-	if !attempt.mayBeSent(told) {
+	hasWaited := time.Since(checked) > attempt.limits.MaxCheckAge
+	if hasWaited && !attempt.mayBeSent(told) {
 		message.withdraw()
 		return nil, attempt.refusal()
 	}
@@ -68,22 +74,17 @@
 // watchWrite checks again what allowed the statement, for as long as a part of its message waits in gRPC or for room in
 // the socket.
 func (attempt *attempt) watchWrite(message *outgoingMessage, told timeTold) {
-	interval := attempt.backend.limits.WriteRecheckInterval
-	var timer *time.Timer
-	started := make(chan struct{})
-	timer = time.AfterFunc(interval, func() {
-		<-started
+	message.afterUnwritten(attempt.limits.WriteRecheckInterval, func() {
 		switch {
-		case attempt.ctx.Err() != nil || message.isWritten():
+		case attempt.ctx.Err() != nil:
 		case attempt.mayBeSent(told):
-			timer.Reset(interval)
+			attempt.watchWrite(message, told)
 		case message.withdraw():
 			attempt.cancel(errMayNotBeSent)
 		case !message.isWritten(): // it is on its way into a socket that has no room
 			_ = message.socket.Close() // fails only if it is closed already
 		}
 	})
-	close(started)
 }
 
 // refusal returns why the attempt ends if it may not be sent any more. If the database has given out a ticket, the
--- a/internal/flight/stream.go
+++ b/internal/flight/stream.go
@@ -76,7 +76,7 @@
 		return attempt.endError()
 	}
 	for err == nil {
-		if !attempt.pass(batch) || !attempt.extendTimeLimit(attempt.backend.limits.ChunkTimeout) {
+		if !attempt.pass(batch) || !attempt.extendTimeLimit(attempt.limits.ChunkTimeout) {
 			return attempt.endError()
 		}
 		batch, err = attempt.receive(stream)
@@ -107,7 +107,7 @@
 // pass hands a message to the client's call, and waits until that takes it. It returns false if the attempt ends first.
 // The time for which the client holds up all messages is limited.
 func (attempt *attempt) pass(message *flight.FlightData) bool {
-	left := attempt.backend.limits.StreamTimeout - attempt.heldUp
+	left := attempt.limits.StreamTimeout - attempt.heldUp
 	if !attempt.extendTimeLimit(left) {
 		return false
 	}
--- a/internal/flight/streams_test.go
+++ b/internal/flight/streams_test.go
@@ -50,7 +50,7 @@
 			ended := newClient(bed).StartQuery(headersWithID("read", "r", testbed.AnswerTimeout), "planned")
 			testbed.Pass(maxAge + 2*slack)
 			bed.ReleaseDatabases()
-			<-ended //nolint:errcheck // it may be served, rejected or late
+			require.NoError(t, <-ended)
 			late := bed.Databases[1].Between(begun.Add(maxAge+slack), begun.Add(testbed.Timeout))
 			require.NotContains(t, late, "planned")
 		})
--- a/internal/flight/waiting_test.go
+++ b/internal/flight/waiting_test.go
@@ -39,17 +39,29 @@
 // waitingAttempt is an attempt that runs on a goroutine of its own.
 type waitingAttempt struct {
 	*attempt
+	first *connection // that it began to wait for
 	ended chan *attemptError
 }
 
 // start runs an attempt of an update that may be written for so long.
 func start(t *testing.T, backend *Backend, member *core.Member, sql string, limit time.Duration) waitingAttempt {
 	t.Helper()
-	update := newUpdate(t, backend, member)
-	update.connection.calls++
+	return startOn(t, nil, backend, member, sql, limit)
+}
+
+// startOn is start on a connection, if one is given, whether it has a stream left or not.
+func startOn(
+	t *testing.T, on *connection, backend *Backend, member *core.Member, sql string, limit time.Duration,
+) waitingAttempt {
+	t.Helper()
+	var update *attempt
+	backend.runOnLoop(func() { update = newUpdate(t, backend, member) })
+	if on != nil {
+		update.connection, update.isConfirmed = on, true
+	}
 	update.statement.SQL = sql
 	update.WriteLimit = routing.WriteLimit{Until: backend.core.Now() + limit, Condition: routing.ProvenFresh}
-	started := waitingAttempt{update, make(chan *attemptError, 1)}
+	started := waitingAttempt{update, update.connection, make(chan *attemptError, 1)}
 	go func() {
 		_, failure := update.run()
 		update.end()
@@ -93,14 +105,18 @@
 				database := newScriptedDatabase(t, http2.Setting{ID: http2.SettingMaxConcurrentStreams, Val: allowed})
 				backend, member := newTestBackend(t, waitLimit, database.address, nil, serialLoop())
 				occupants := int(allowed)
+				var busy *connection
 				for range occupants {
-					start(t, backend, member, "long", waitLimit)
+					busy = start(t, backend, member, "long", waitLimit).first
 				}
 				database.awaitSeen(func(seen streams) bool { return len(seen.whole) == occupants }, "all are in use")
-				waiting := start(t, backend, member, "waits", allowedFor)
-				isOpening := func() bool { return len(waiting.connection.opening) == 1 }
+				waiting := startOn(t, busy, backend, member, "waits", allowedFor)
+				isOpening := func() bool { return len(waiting.first.opening) == 1 }
 				require.Eventually(t, isOpening, waitLimit, checkInterval)
-				bar(waiting, backend, member)
+				opening := time.Now()
+				hasWaited := func() bool { return time.Since(opening) > waiting.limits.MaxCheckAge }
+				require.Eventually(t, hasWaited, waitLimit, checkInterval)
+				backend.runOnLoop(func() { bar(waiting, backend, member) })
 				database.reject(database.seen().whole[0])
 				waiting.requireWithdrawn(t)
 				require.Len(t, database.seen().whole, occupants)
--- a/internal/limits/flight.go
+++ b/internal/limits/flight.go
@@ -1,13 +1,20 @@
 package limits
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Flight limits the Flight SQL frontend, and the connections to databases over Flight.
 type Flight struct {
 	// MaxClientConnections is the number of clients' connections.
 	MaxClientConnections int
-	// MaxDatabaseConnections is the number of connections to databases. Each carries many calls.
+	// MaxDatabaseConnections is the number of connections to databases.
 	MaxDatabaseConnections int
+	// MaxIdlePerDatabase is the number of connections to one database that carry no call.
+	MaxIdlePerDatabase int
+	// MaxStreamsPerConnection is the number of calls at once on a connection to a database, which may allow fewer.
+	MaxStreamsPerConnection int
 	// MaxCalls is the number of calls at once. Each may buffer two messages.
 	MaxCalls int
 	// MaxCallsPerConnection is the number of calls at once on one connection. It leaves some of MaxCalls to others.
@@ -37,6 +44,8 @@
 	SettleTimeout time.Duration
 	// MaxHeaderAge is how old the time that a database was told may be when the statement follows.
 	MaxHeaderAge time.Duration
+	// MaxCheckAge is how old the check of a statement may be when the statement is handed to gRPC.
+	MaxCheckAge time.Duration
 	// WriteRecheckInterval is the time between two checks of a statement that is not written whole.
 	WriteRecheckInterval time.Duration
 	// ChunkTimeout is the time for the next message of a stream, once its answer has begun.
@@ -55,28 +64,39 @@
 
 func flight(granted shares, timeouts Timeouts) Flight {
 	return Flight{
-		MaxClientConnections:   granted.flight,
-		MaxDatabaseConnections: granted.flight,
-		MaxCalls:               granted.flightCalls(),
-		MaxCallsPerConnection:  granted.flightCalls() * callShareNumerator / callShareDivisor,
-		MaxReceiving:           granted.flightRequests(),
-		MaxRequestBytes:        maxFlightRequestBytes,
-		MaxHeaderBytes:         maxFlightHeaderBytes,
-		WindowBytes:            flightWindowBytes,
-		MaxMessageBytes:        granted.flightMessage(),
-		StartupTimeout:         startupTimeout,
-		IdleTimeout:            flightIdleTimeout,
-		ReceiveTimeout:         receiveTimeout,
-		MessageTimeout:         messageTimeout,
-		ConnectTimeout:         timeouts.Connect,
-		SettleTimeout:          flightSettleTimeout,
-		MaxHeaderAge:           maxHeaderAge,
-		WriteRecheckInterval:   writeRecheckTicks * timerTick,
-		ChunkTimeout:           chunkTimeout,
-		StreamTimeout:          streamTimeout,
-		LingerTimeout:          lingerTimeout,
-		CloseTimeout:           rejectionTimeout,
-		LogInterval:            logInterval,
-		Retry:                  retry(),
+		MaxClientConnections:    granted.flight,
+		MaxDatabaseConnections:  granted.flight,
+		MaxIdlePerDatabase:      min(maxIdlePerDatabase, granted.flightCalls()),
+		MaxStreamsPerConnection: streamsPerConnection(timeouts.StreamsPerConnection),
+		MaxCalls:                granted.flightCalls(),
+		MaxCallsPerConnection:   granted.flightCalls() * callShareNumerator / callShareDivisor,
+		MaxReceiving:            granted.flightRequests(),
+		MaxRequestBytes:         maxFlightRequestBytes,
+		MaxHeaderBytes:          maxFlightHeaderBytes,
+		WindowBytes:             flightWindowBytes,
+		MaxMessageBytes:         granted.flightMessage(),
+		StartupTimeout:          startupTimeout,
+		IdleTimeout:             flightIdleTimeout,
+		ReceiveTimeout:          receiveTimeout,
+		MessageTimeout:          messageTimeout,
+		ConnectTimeout:          timeouts.Connect,
+		SettleTimeout:           flightSettleTimeout,
+		MaxHeaderAge:            maxHeaderAge,
+		MaxCheckAge:             timerTick,
+		WriteRecheckInterval:    writeRecheckTicks * timerTick,
+		ChunkTimeout:            chunkTimeout,
+		StreamTimeout:           streamTimeout,
+		LingerTimeout:           lingerTimeout,
+		CloseTimeout:            rejectionTimeout,
+		LogInterval:             logInterval,
+		Retry:                   retry(),
 	}
 }
+
+// streamsPerConnection returns the number of calls at once on a connection, of which 0 is any number in the settings.
+func streamsPerConnection(allowed int) int {
+	if allowed == 0 {
+		return math.MaxInt32
+	}
+	return allowed
+}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -30,6 +30,8 @@
 	Connect         time.Duration // of connections to databases
 	Keepalive       time.Duration // databases close connections that are idle for so long
 	LongestDeadline time.Duration // of all classes
+	// StreamsPerConnection is how many attempts one connection to a database may carry at once; 0: any number.
+	StreamsPerConnection int
 }
 
 // For returns the limits of a machine at a site with these timeouts.
--- a/internal/pooler/config.go
+++ b/internal/pooler/config.go
@@ -104,6 +104,7 @@
 	}
 	return limits.For(machine, limits.Timeouts{
 		Connect: c.Site.ConnectTimeout, Keepalive: c.Site.Keepalive, LongestDeadline: longest,
+		StreamsPerConnection: c.Site.StreamsPerConnection,
 	})
 }
 
--- a/internal/pooler/parts.go
+++ b/internal/pooler/parts.go
@@ -159,6 +159,7 @@
 	if settings.Listen != "" {
 		backend := flight.NewBackend(settings, p.limits.Flight, p.log, p.core, p.loop.Do, nil)
 		p.onEnd(func() { _ = backend.Close(backendCloseWait) }) // an attempt that is left ends with the process
+		p.flightBackend = backend
 		watchers = append(watchers, backend)
 		front, err := flight.NewFront(p.limits.Flight, p.log, p.core, p.intake, p.loop.Do, backend)
 		if err != nil {
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -58,6 +58,7 @@
 	// These are nil while their table of the operators' file leaves them off.
 	trafficWriter *pcap.Writer
 	flight        *flight.Front
+	flightBackend *flight.Backend
 	store         store.Store
 	membership    *gossip.Gossip
 	peers         *peers.Peers
--- a/internal/pooler/reload.go
+++ b/internal/pooler/reload.go
@@ -40,6 +40,9 @@
 		}
 		p.limits.Shutdown = bounds.Shutdown
 		p.pool.Reconfigure(bounds.Backend)
+		if p.flightBackend != nil {
+			p.flightBackend.Reconfigure(bounds.Flight)
+		}
 	})
 	p.discovery.Move(loaded.Discovery)
 }
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -30,6 +30,8 @@
 		return keyErrorf("extra.classRead", "%d words for %d classes", len(d.Extra.ReadKinds), len(d.Classes))
 	case d.Allowed.MaxAttempts < 1:
 		return keyErrorf("allowed.sendCap", "%d is under 1", d.Allowed.MaxAttempts)
+	case d.Allowed.Streams != nil && *d.Allowed.Streams < 1:
+		return keyErrorf("allowed.streamsPerConn", "%d is under 1", *d.Allowed.Streams)
 	case d.hasSlowStart() && d.Rules.OverloadWindow.duration() <= 0:
 		// Slow start gives an endpoint a budget for each window.
 		return keyErrorf("rules.fallMs", "%v is not over 0", float64(d.Rules.OverloadWindow))
--- a/internal/settings/document.go
+++ b/internal/settings/document.go
@@ -62,6 +62,15 @@
 	Hedges         bool         `json:"secondCopies"`
 	ConnectTimeout milliseconds `json:"connectTimeoutMs"`
 	Keepalive      milliseconds `json:"keepaliveMs"`
+	Streams        *int         `json:"streamsPerConn"` // nil: not limited
+}
+
+// streams returns how many attempts one connection may carry at once; 0: any number.
+func (a *allowances) streams() int {
+	if a.Streams == nil {
+		return 0
+	}
+	return *a.Streams
 }
 
 // rules hold the times and bounds of the endpoint list, of slow start and of overload.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -32,7 +32,9 @@
 	Tenants        int // number of tenants
 	ConnectTimeout time.Duration
 	Keepalive      time.Duration
-	Origin         time.Duration // the time that replication positions count from, by the routers' clock
+	// StreamsPerConnection is how many attempts one connection may carry at once; 0: any number.
+	StreamsPerConnection int
+	Origin               time.Duration // the time that replication positions count from, by the routers' clock
 
 	// Indexes of the replication position, the role and the queue length in a load report; -1 if it lacks the field.
 	PositionField, RoleField, QueueField int
@@ -52,15 +54,16 @@
 		return Settings{}, err
 	}
 	settings := Settings{
-		Routing:        routingSettings,
-		Zones:          parsed.Zones,
-		Tenants:        len(parsed.Projects),
-		ConnectTimeout: parsed.Allowed.ConnectTimeout.duration(),
-		Keepalive:      parsed.Allowed.Keepalive.duration(),
-		Origin:         parsed.Extra.Origin.duration(),
-		PositionField:  slices.Index(parsed.Feedback.Fields, reportPosition),
-		RoleField:      slices.Index(parsed.Feedback.Fields, reportRole),
-		QueueField:     slices.Index(parsed.Feedback.Fields, reportQueue),
+		Routing:              routingSettings,
+		Zones:                parsed.Zones,
+		Tenants:              len(parsed.Projects),
+		ConnectTimeout:       parsed.Allowed.ConnectTimeout.duration(),
+		Keepalive:            parsed.Allowed.Keepalive.duration(),
+		StreamsPerConnection: parsed.Allowed.streams(),
+		Origin:               parsed.Extra.Origin.duration(),
+		PositionField:        slices.Index(parsed.Feedback.Fields, reportPosition),
+		RoleField:            slices.Index(parsed.Feedback.Fields, reportRole),
+		QueueField:           slices.Index(parsed.Feedback.Fields, reportQueue),
 	}
 	for _, class := range parsed.Classes {
 		settings.Classes = append(settings.Classes, class.Name)
@@ -74,6 +77,9 @@
 	Zones          []string
 	ConnectTimeout time.Duration // timeout of a connection attempt
 	Keepalive      time.Duration
+	// StreamsPerConnection is how many attempts one connection may carry at once, where the wire allows several; 0: any
+	// number.
+	StreamsPerConnection int
 }
 
 // ParseForPooler parses the settings that the platform gives to a pooler. Classes need unique names. The timeouts of
@@ -94,10 +100,11 @@
 		routingSettings.ListBindsAfter = min(routingSettings.ListBindsAfter, routingSettings.DrainGrace)
 	}
 	site := Site{
-		Classes:        settings.Classes,
-		Zones:          settings.Zones,
-		ConnectTimeout: settings.ConnectTimeout,
-		Keepalive:      settings.Keepalive,
+		Classes:              settings.Classes,
+		Zones:                settings.Zones,
+		ConnectTimeout:       settings.ConnectTimeout,
+		Keepalive:            settings.Keepalive,
+		StreamsPerConnection: settings.StreamsPerConnection,
 	}
 	return routingSettings, site, nil
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -213,6 +213,9 @@
 	"no attempts": {
 		forAll, `"sendCap": 10`, `"sendCap": 0`, "allowed.sendCap", "0 is under 1",
 	},
+	"no streams": {
+		forAll, `"sendCap": 10`, `"sendCap": 10, "streamsPerConn": 0`, "allowed.streamsPerConn", "0 is under 1",
+	},
 	"no window": {
 		forAll, `"fallMs": 2000.0`, `"fallMs": 0`, "rules.fallMs", "0 is not over 0",
 	},
