Give up a statement whose database would be told too much time

Cause: on the PostgreSQL wire the time is written with the statement. A part that waits for room in the socket was checked again every 10 ms for all else, and the time was not (recheckWriteLater).

Change: what a database is told, and until when that is right, is core.TimeTold for both wires. A statement must be written whole within 0.1 s and the time that its length needs at 1 MiB/s, which is subtracted from the time told; else it is given up like one whose freshness has run out, and may be sent again.

TestPartlySentWriteIsRetriedAfterTCPTimeout is about the kernel's own timeout, which comes after 0.2 to 0.4 s; the pooler gives up before that now, so the test raises that limit for its pooler and asserts what it did. Limits are recorded under Request instead of Flight.

--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -6,6 +6,7 @@
 
 	"github.com/panjf2000/gnet/v2"
 
+	"capercove/internal/core"
 	"capercove/internal/eventloop"
 	"capercove/internal/pg"
 	"capercove/internal/timerwheel"
@@ -100,7 +101,7 @@
 	if job.isHealthCheck() {
 		connection.sendHealthCheck(job, now)
 	} else {
-		connection.sendAttempt(job, now)
+		connection.sendAttempt(job)
 	}
 }
 
@@ -115,24 +116,26 @@
 
 // sendAttempt writes the statement of an attempt with the time left until its deadline. It notifies the core if the
 // whole statement has been handed to the kernel.
-func (connection *connection) sendAttempt(job *job, now time.Duration) {
-	connection.write(job.query.AppendWithWait(nil, job.attempt.Deadline-now))
+func (connection *connection) sendAttempt(job *job) {
+	told := connection.pool.core.TellTime(job.attempt, len(job.query.Head)+len(job.query.Tail))
+	connection.write(job.query.AppendWithWait(nil, told.Left))
 	if connection.state == stateAwaitingAnswer && !connection.notifyWritten() {
-		connection.recheckWriteLater(job)
+		connection.recheckWriteLater(job, told)
 	}
 }
 
 // recheckWriteLater schedules a check of an attempt whose statement waits for room in the socket. The statement begins
-// at the database once its last byte has arrived, so the attempt must still be allowed then.
-func (connection *connection) recheckWriteLater(job *job) {
+// at the database once its last byte has arrived, so the attempt must still be allowed then, and the database must not
+// have been told too much.
+func (connection *connection) recheckWriteLater(job *job, told core.TimeTold) {
 	pool := connection.pool
 	at := min(pool.core.Now()+writeRecheckTicks*pool.limits.TimerTick, job.attempt.WriteLimit.Until)
 	job.timer = pool.core.Wheel.Schedule(at, func() {
 		switch {
 		case connection.state != stateAwaitingAnswer: // an answer is being streamed, so the whole statement was sent
 		case connection.notifyWritten():
-		case pool.core.MaySend(job.attempt):
-			connection.recheckWriteLater(job)
+		case pool.core.MaySendAs(job.attempt, told):
+			connection.recheckWriteLater(job, told)
 		default:
 			pool.counters.TooLate++
 			connection.abandonUnwritten(job)
--- a/internal/flight/attempt.go
+++ b/internal/flight/attempt.go
@@ -138,11 +138,10 @@
 
 // mayBeSent reports whether the statement may be sent now, in view of all that the client has sent by now, such as the
 // cancelling of its call, and of the time that the database was told.
-func (attempt *attempt) mayBeSent(told timeTold) bool {
+func (attempt *attempt) mayBeSent(told core.TimeTold) bool {
 	attempt.statement.call.socket.settle(attempt.ctx, attempt.limits.SettleTimeout)
 	return attempt.askOnLoop(func() bool {
-		requests := attempt.backend.core
-		return attempt.connection.isValid() && requests.Now() < told.until && requests.MaySend(attempt.Attempt)
+		return attempt.connection.isValid() && attempt.backend.core.MaySendAs(attempt.Attempt, told)
 	})
 }
 
--- a/internal/flight/outgoingcall.go
+++ b/internal/flight/outgoingcall.go
@@ -9,6 +9,8 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/metadata"
 	"google.golang.org/protobuf/proto"
+
+	"capercove/internal/core"
 )
 
 // The methods of a database that are called.
@@ -22,36 +24,16 @@
 // number of messages from it. All methods are called so: gRPC then opens the stream first and writes the message later.
 var oneRequest = grpc.StreamDesc{ServerStreams: true}
 
-// minWriteRate is how fast a message is taken to reach the operating system at least, in bytes per second.
-const minWriteRate = 1 << 20
-
-// timeTold is the time that is left of an attempt as its database is told it, in the headers of a call.
-type timeTold struct {
-	left  time.Duration // as the headers have it
-	until time.Duration // on the core's clock: the message must have left by then, or the database is told too much
-}
-
-// tellTime returns what a database is told with a message of so many bytes. The message follows the headers later,
-// which gRPC writes when it opens the stream: the time that a long one needs is subtracted.
-func (attempt *attempt) tellTime(size int) timeTold {
-	now := attempt.backend.core.Now()
-	toWrite := time.Duration(size) * time.Second / minWriteRate
-	return timeTold{
-		left:  attempt.Deadline - now - toWrite,
-		until: now + toWrite + attempt.limits.MaxHeaderAge,
-	}
-}
-
 // call begins a call to the database: it checks what allowed the statement, opens a stream and writes the request. gRPC
 // may let a call wait for its stream, such as until the database allows one more; the check is repeated then. A check
 // before the stream lets gRPC write headers and message at once.
 func (attempt *attempt) call(method string, request proto.Message) (grpc.ClientStream, error) {
-	told := attempt.tellTime(proto.Size(request))
+	told := attempt.backend.core.TellTime(attempt.Attempt, proto.Size(request))
 	if !attempt.mayBeSent(told) {
 		return nil, attempt.refusal()
 	}
 	checked := time.Now()
-	ctx := metadata.NewOutgoingContext(attempt.ctx, attempt.statement.headers(told.left))
+	ctx := metadata.NewOutgoingContext(attempt.ctx, attempt.statement.headers(told.Left))
 	ctx = context.WithValue(ctx, attemptKey{}, attempt)
 	stream, message, err := attempt.connection.openStream(ctx, method, attempt)
 	if err != nil {
@@ -73,7 +55,7 @@
 
 // watchWrite checks again what allowed the statement, for as long as a part of its message waits in gRPC or for room in
 // the socket.
-func (attempt *attempt) watchWrite(message *outgoingMessage, told timeTold) {
+func (attempt *attempt) watchWrite(message *outgoingMessage, told core.TimeTold) {
 	message.afterUnwritten(attempt.limits.WriteRecheckInterval, func() {
 		switch {
 		case attempt.ctx.Err() != nil:
--- a/internal/limits/constants.go
+++ b/internal/limits/constants.go
@@ -113,8 +113,8 @@
 	flightIdleTimeout = 10 * time.Second
 	// flightSettleTimeout is a guard.
 	flightSettleTimeout = 50 * time.Millisecond
-	// maxHeaderAge is under the 150 ms by which an attempt may tell its database more than the client has left.
-	maxHeaderAge = 100 * time.Millisecond
+	// maxToldAge is under the 150 ms by which an attempt may tell its database more than the client has left.
+	maxToldAge = 100 * time.Millisecond
 	// writeRecheckTicks is in timer ticks.
 	writeRecheckTicks = 2
 )
--- a/internal/limits/flight.go
+++ b/internal/limits/flight.go
@@ -42,8 +42,6 @@
 	ConnectTimeout time.Duration
 	// SettleTimeout is how long a call waits for what its client has already sent, such as its cancellation.
 	SettleTimeout time.Duration
-	// MaxHeaderAge is how old the time that a database was told may be when the statement follows.
-	MaxHeaderAge time.Duration
 	// MaxCheckAge is how old the check of a statement may be when the statement is handed to gRPC.
 	MaxCheckAge time.Duration
 	// WriteRecheckInterval is the time between two checks of a statement that is not written whole.
@@ -81,7 +79,6 @@
 		MessageTimeout:          messageTimeout,
 		ConnectTimeout:          timeouts.Connect,
 		SettleTimeout:           flightSettleTimeout,
-		MaxHeaderAge:            maxHeaderAge,
 		MaxCheckAge:             timerTick,
 		WriteRecheckInterval:    writeRecheckTicks * timerTick,
 		ChunkTimeout:            chunkTimeout,
--- a/internal/limits/request.go
+++ b/internal/limits/request.go
@@ -13,6 +13,8 @@
 
 	// DeadlineMargin is subtracted from the deadline that a client gives, for the way back to it.
 	DeadlineMargin time.Duration
+	// MaxToldAge is how old the time that a database was told may be when the statement is written whole.
+	MaxToldAge time.Duration
 	// OverdueTimeout fails a request that has no answer so long after its deadline.
 	OverdueTimeout time.Duration
 	// ChunkTimeout is the time for the next chunk of a streamed answer.
@@ -43,6 +45,7 @@
 		MaxPending:      granted.descriptors / pendingDivisor,
 		MaxMembers:      maxMembers,
 		DeadlineMargin:  deadlineMargin,
+		MaxToldAge:      maxToldAge,
 		OverdueTimeout:  overdueTimeout,
 		ChunkTimeout:    chunkTimeout,
 		StreamTimeout:   streamTimeout,
--- a/internal/testbed/inprocess/pooler.go
+++ b/internal/testbed/inprocess/pooler.go
@@ -43,19 +43,26 @@
 	stopped  bool
 }
 
+// Adjustment changes the limits of a pooler before it starts.
+type Adjustment func(*limits.Limits)
+
 // New starts a pooler that ends with the test. A connection to a database may take as long as connect; of all system
 // calls only those fail that dial fails, which may be nil.
-func New(t *testing.T, connect time.Duration, listener net.Listener, database string, dial Control) *Pooler {
+func New(
+	t *testing.T, connect time.Duration, listener net.Listener, database string, dial Control,
+	adjustments ...Adjustment,
+) *Pooler {
 	t.Helper()
-	return NewWithDialer(t, connect, listener, database, &net.Dialer{Control: dial})
+	return NewWithDialer(t, connect, listener, database, &net.Dialer{Control: dial}, adjustments...)
 }
 
 // NewWithDialer starts a pooler as New does, with the dialer of all connections to databases.
 func NewWithDialer(
 	t *testing.T, connect time.Duration, listener net.Listener, database string, dialer *net.Dialer,
+	adjustments ...Adjustment,
 ) *Pooler {
 	t.Helper()
-	pooler := wire(connect, listener, dialer)
+	pooler := wire(connect, listener, dialer, adjustments)
 	pooler.ended = make(chan error, 1)
 	began := make(chan struct{})
 	go func() {
@@ -83,11 +90,14 @@
 }
 
 // wire makes the parts of a pooler, and starts none.
-func wire(connect time.Duration, listener net.Listener, dialer *net.Dialer) *Pooler {
+func wire(connect time.Duration, listener net.Listener, dialer *net.Dialer, adjustments []Adjustment) *Pooler {
 	machine := limits.Machine{MemoryMB: 64, Sockets: 256}
 	bounds := limits.For(machine, limits.Timeouts{
 		Connect: connect, Keepalive: 15 * time.Second, LongestDeadline: deadline,
 	})
+	for _, adjust := range adjustments {
+		adjust(&bounds)
+	}
 	settings := core.Settings{Settings: routerSettings(), Names: []string{"write"}}
 	pooler := &Pooler{Loop: eventloop.New(bounds.EventLoop, zerolog.Nop(), listener, dialer)}
 	flush := func() { pooler.Loop.Do(pooler.core.Flush) }
