Accept at a reload what a start accepts

Seen: a configuration that moved discovery and lowered the bound of a class was rejected on SIGHUP, as it lacked rules.drainBindsAlone, which is optional and was there before.

Cause: Config.Reload demanded each key that the file before had, so that a start and a reload had two definitions of a valid file. The guard was meant for files that are cut short, which do not parse anyway.

Change: a reload reads the file with the code of a start alone.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -27,8 +27,6 @@
 	Known      discovery.List   // endpoints known before the discovery service answers
 	Settings   routing.Settings // of the routing decisions
 	Site       settings.Site    // settings of the site besides those of routing
-
-	shape any // the decoded file without the known endpoints; Reload compares its keys
 }
 
 // Public returns what other poolers and operators may read of the configuration.
@@ -43,49 +41,10 @@
 // precedence over the file's values.
 func Load() (Config, error) { return load(false) }
 
-// Reload reads the configuration again while the program runs. It does not change c. Only the file can have
-// changed, so its values take precedence over the environment's. A key that the file had before and lacks now is an
-// error: it would otherwise be read as zero.
-func (c Config) Reload() (Config, error) {
-	reloaded, err := load(true)
-	if err == nil {
-		if key := missing(c.shape, reloaded.shape); key != "" {
-			err = tables.KeyErrorf(key, "missing")
-		}
-	}
-	return reloaded, err
-}
-
-// missing returns a dotted key that a JSON value had before and lacks after a reload, or "" if there is none. Each
-// element of a list must have all keys of at least one element of the list before.
-func missing(before, after any) string {
-	switch before := before.(type) {
-	case map[string]any:
-		after, _ := after.(map[string]any)
-		for key, value := range before {
-			if after[key] == nil && value != nil {
-				return key
-			}
-			if nested := missing(value, after[key]); nested != "" {
-				return key + "." + nested
-			}
-		}
-	case []any:
-		after, _ := after.([]any)
-		for _, element := range after {
-			lastMissing, matchesNone := "", len(before) > 0
-			for _, earlier := range before {
-				key := missing(earlier, element)
-				matchesNone = matchesNone && key != ""
-				lastMissing = key
-			}
-			if matchesNone {
-				return lastMissing
-			}
-		}
-	}
-	return ""
-}
+// Reload reads the configuration again while the program runs. It accepts what Load accepts: a key that is absent has
+// its default, whether the file had it before or not. Only the file can have changed, so its values take precedence
+// over the environment's.
+func Reload() (Config, error) { return load(true) }
 
 // The least resources that the platform must grant a pooler.
 const (
@@ -119,8 +78,6 @@
 	} `json:"limits"`
 	Known    json.RawMessage `json:"known"`
 	Settings json.RawMessage `json:"settings"`
-
-	shape map[string]any // the whole decoded file except "known"
 }
 
 // readFile reads the file that GW_CONFIG names.
@@ -133,13 +90,9 @@
 	if err != nil {
 		return file, tables.KeyError{Key: fileVariable, Cause: err}
 	}
-	if err = json.Unmarshal(text, &file); err == nil {
-		err = json.Unmarshal(text, &file.shape)
-	}
-	if err != nil {
+	if err = json.Unmarshal(text, &file); err != nil {
 		return file, tables.KeyErrorf(fileVariable, "%s: %w", path, err)
 	}
-	delete(file.shape, "known") // package discovery checks its entries
 	return file, nil
 }
 
@@ -149,7 +102,6 @@
 	if err != nil {
 		return Config{}, err
 	}
-	loaded.shape = file.shape
 	loaded.Machine = limits.Machine{MemoryMB: file.Limits.MemoryMB, Sockets: file.Limits.Sockets}
 	for _, step := range []func() error{
 		func() error { return loaded.readNameAndAddresses(file, isReload) },
--- a/internal/pooler/reload.go
+++ b/internal/pooler/reload.go
@@ -49,7 +49,7 @@
 
 // loadAgain reads both files and the tenants' rules of the second.
 func (p *Pooler) loadAgain() (loaded config.Config, operators operatorsFile, rules *tenant.Rules, err error) {
-	if loaded, err = p.config.Reload(); err != nil {
+	if loaded, err = config.Reload(); err != nil {
 		return loaded, operators, nil, err
 	}
 	if operators, err = loadOperatorsFile(); err != nil {
