--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -19,9 +19,6 @@
 	startupDatabase = "core"
 )
 
-// writeRecheckTicks is the delay, in timer ticks, after which recheckWriteLater checks an attempt again.
-const writeRecheckTicks = 2
-
 // connection is one connection to a database. It implements eventloop.DialedSocket. It must be used on the event loop
 // only; pool and address never change, and other goroutines may read them.
 type connection struct {
@@ -129,7 +126,7 @@
 // have been told too much.
 func (connection *connection) recheckWriteLater(job *job, told core.TimeTold) {
 	pool := connection.pool
-	at := min(pool.core.Now()+writeRecheckTicks*pool.limits.TimerTick, job.attempt.WriteLimit.Until)
+	at := min(pool.core.Now()+pool.limits.WriteRecheckInterval, job.attempt.WriteLimit.Until)
 	job.timer = pool.core.Wheel.Schedule(at, func() {
 		switch {
 		case connection.state != stateAwaitingAnswer: // an answer is being streamed, so the whole statement was sent
--- a/internal/flight/streams_test.go
+++ b/internal/flight/streams_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -95,10 +96,29 @@
 			require.NoError(t, <-ended)
 			told, err := strconv.Atoi(bed.Databases[0].Deadlines("later")[0])
 			require.NoError(t, err)
-			arrived := bed.Databases[0].Between(begun, begun.Add(delay))
-			if len(arrived) == 0 {
-				require.LessOrEqual(t, time.Duration(told)*time.Millisecond, wait-delay+slack)
+			left := wait
+			if arrivedAtOnce := bed.Databases[0].Between(begun, begun.Add(delay)); len(arrivedAtOnce) == 0 {
+				left -= delay
 			}
+			require.LessOrEqual(t, time.Duration(told)*time.Millisecond, left+slack)
 		})
 	}
 }
+
+// Guards against a new configuration that lowers the calls on a connection to a database, and is not followed.
+func TestReloadLimitsStreamsOfConnection(t *testing.T) {
+	const calls = 4
+	bed := testbed.Start(t, testbed.WithFlight, testbed.WithMemory(streamsMemory))
+	client, primary := newClient(bed), bed.Databases[0]
+	require.NoError(t, client.Update(headers("write", longWait), "first"))
+	before := primary.Open()
+	bed.Settings = strings.Replace(bed.Settings, `"sendCap":10`, `"sendCap":10,"streamsPerConn":1`, 1)
+	bed.Reload()
+	bed.Counters(func(counters testbed.Counters) bool { return counters.Core.Reloads == 1 })
+	for range calls {
+		client.StartUpdate(headers("write", longWait), "hold")
+	}
+	bed.Eventually(func() bool { return bed.Sent("hold") == calls }, "all calls are at the primary")
+	require.GreaterOrEqual(t, primary.Open(), before+calls-1, "each has a connection")
+	bed.ReleaseDatabases()
+}
--- a/internal/limits/backend.go
+++ b/internal/limits/backend.go
@@ -26,6 +26,8 @@
 	HealthCheckTimeout time.Duration
 	// IdleTimeout closes a connection that is idle for so long.
 	IdleTimeout time.Duration
+	// WriteRecheckInterval is the time between two checks of a statement that is not written whole.
+	WriteRecheckInterval time.Duration
 	// TimerTick is the resolution of timers.
 	TimerTick time.Duration
 	// LogInterval is the least time between two log lines about one kind of bad input.
@@ -45,6 +47,7 @@
 		ConnectTimeout:        timeouts.Connect,
 		HealthCheckTimeout:    timeouts.Connect,
 		IdleTimeout:           backendIdleTimeout(timeouts.Keepalive),
+		WriteRecheckInterval:  writeRecheckTicks * timerTick,
 		TimerTick:             timerTick,
 		LogInterval:           logInterval,
 		Retry:                 retry(),
--- a/internal/limits/computed.go
+++ b/internal/limits/computed.go
@@ -11,7 +11,7 @@
 
 // Parts of the descriptors that are divided.
 const (
-	// flightDivisor gives each side of Flight SQL a twentieth, as its connections carry many calls.
+	// flightDivisor gives each side of Flight SQL a twentieth, as a connection may carry many calls.
 	flightDivisor = 20
 	// clientTenths and serverTenths divide the rest: databases are shared by many clients.
 	clientTenths, serverTenths, tenths = 7, 3, 10
--- a/internal/limits/names_test.go
+++ b/internal/limits/names_test.go
@@ -68,6 +68,7 @@
 	"Flight.SettleTimeout":           "FlightSettle",
 	"Request.MaxToldAge":             "Request.MaxToldAge",
 	"Flight.MaxCheckAge":             "Flight.MaxCheckAge",
+	"Backend.WriteRecheckInterval":   "Backend.WriteRecheckInterval",
 	"Flight.WriteRecheckInterval":    "Flight.WriteRecheckInterval",
 	"Flight.ChunkTimeout":            "PieceWait",
 	"Flight.StreamTimeout":           "AnswerLongest",
