Reject no more pending requests at once than there were too many

Callers saw: beside 400 clients that pipeline reads without a pause, other clients got few answers, and many 53300 while databases were idle; the process passed a memory limit of 32 MB.

Cause: Core.shedOldest rejects until no more than MaxPending requests wait. A rejection goes to the client at once, which may make room in its pipeline, so that its next command is submitted within the same loop. That one waits too, and the next oldest is rejected for it. The loop ended only when the turns of all these clients were over. None of the requests had been seen by the router, and for each two events were collected for its next step.

Evidence: heap profile of the program at 32 MB beside 400 such clients: 8.7 of 12.8 MB are those events (Core.forwardToRouter below shedOldest).

Change: a flush rejects as many as there were too many when it began. What clients submit meanwhile waits for the next flush, where the router comes first.

--- a/internal/core/harness_test.go
+++ b/internal/core/harness_test.go
@@ -31,6 +31,8 @@
 	sent      []*core.Attempt // in order
 	cancelled []*core.Attempt
 	forgotten []*core.Member
+	// maxPending is how many requests may wait that were not sent.
+	maxPending int
 }
 
 // Send implements core.Statement: the harness is the statement of each request.
@@ -92,6 +94,7 @@
 	bounds := limits.For(machine, limits.Timeouts{
 		Connect: 250 * time.Millisecond, Keepalive: 15 * time.Second, LongestDeadline: 5 * time.Second,
 	}).Request
+	harness.maxPending = bounds.MaxPending
 	named := core.Settings{Settings: settings, Names: []string{"read", "keyed"}}
 	harness.core = core.New(named, 1, bounds, zerolog.Nop(),
 		func() time.Duration { return harness.now }, func() {}, ready)
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -214,9 +214,11 @@
 	}
 }
 
-// shedOldest rejects the pending requests beyond MaxPending, the oldest first. None of them was sent to a database.
+// shedOldest rejects the pending requests beyond MaxPending, the oldest first. None of them was sent to a database. A
+// client may submit its next request when it is rejected. Such requests wait for the next Flush: the router has not
+// seen them yet, and shedOldest would not return while clients have more of them.
 func (c *Core) shedOldest() {
-	for {
+	for excess := c.pending.Len() - c.limits.MaxPending; excess > 0; excess-- {
 		id, over := c.pending.RemoveOldestOver(c.limits.MaxPending)
 		if !over {
 			return
