Release unused pages of the program, and give the heap what they leave

Callers saw: a process of 32 MB passed its limit.

Cause: the heap may grow to its soft limit, 13 MiB of 32, which leaves 19 MiB for the pages of the program's file. Those were 19.7 to 20.7 MB (RssFile), libraries included, and variables and stacks of C take another megabyte. Most of these pages hold what runs only at the start.

Change: read-only mappings of files of which no page was modified are released by madvise once the process serves, and from 85 % of the grant on; the kernel maps again what is used. The soft limit is set anew every 250 ms to no more than resident pages of files and 2 MiB leave of the grant.

TestProgramFileLeavesMemoryForHeap fails without the change (18 MiB).

--- a/internal/frontend/crowd_test.go
+++ b/internal/frontend/crowd_test.go
@@ -242,3 +242,13 @@
 		}
 	}
 }
+
+// Guards against a process whose file leaves too little of a small grant: what ran only at the start does not stay
+// resident, so that the heap may grow to its own limit.
+func TestProgramFileLeavesMemoryForHeap(t *testing.T) {
+	const megabytes, heapLimit = 32, 13 // MiB
+	bed := testbed.Start(t, testbed.WithMemory(megabytes))
+	require.Empty(t, bed.Client().Ask(bed.Statement("read", "a", testbed.AnswerTimeout)).Code)
+	filePages := bed.Memory() - bed.AnonymousMemory()
+	require.Less(t, filePages>>20, megabytes-heapLimit-2)
+}
--- a/internal/limits/computed.go
+++ b/internal/limits/computed.go
@@ -39,6 +39,8 @@
 	sharedNumerator, sharedDivisor = 3, 4
 	// programBytes is resident beside what the garbage collector sees: the pages of the program's file.
 	programBytes = 19 << 20
+	// unseenBytes is resident beside that: the program's variables, and stacks and heap of C.
+	unseenBytes = 2 << 20
 	// minSoftBytes is the least soft limit. Below it the collector would run all the time.
 	minSoftBytes = 8 << 20
 	// clientBuffersDivisor is the part of the soft limit that clients' buffers may take. Statements among them are held
--- a/internal/limits/process.go
+++ b/internal/limits/process.go
@@ -6,7 +6,7 @@
 type Process struct {
 	// MemoryBytes is the grant of the platform, in bytes.
 	MemoryBytes int64
-	// SoftMemoryBytes is the soft limit of the garbage collector, in bytes.
+	// SoftMemoryBytes is the largest soft limit of the garbage collector, in bytes; see SoftMemory.
 	SoftMemoryBytes int64
 	// QuotaInterval is the period of settling the descriptor quotas of the pooler's processes.
 	QuotaInterval time.Duration
@@ -18,6 +18,13 @@
 	}
 }
 
+// SoftMemory returns the soft limit of the garbage collector, in bytes, for a process of whose resident memory so many
+// bytes are pages of files. The garbage collector does not see those.
+func (bounds Process) SoftMemory(filePages uint64) int64 {
+	left := bounds.MemoryBytes - int64(filePages) - unseenBytes
+	return max(min(bounds.SoftMemoryBytes, left), minSoftBytes)
+}
+
 // Listen limits the opening of a listener at the start.
 type Listen struct {
 	// Timeout is how long it is retried.
--- a/internal/pooler/parts.go
+++ b/internal/pooler/parts.go
@@ -54,6 +54,7 @@
 	}
 	p.core.LoadKnownMembers(members(p.config.Known, p.config.Site.Zones))
 	p.exclusions.Refresh()
+	p.releaseProgramPages() // those of the start
 	p.watchMemory()
 	p.loop.Do(p.core.Start) // queued behind the exclusions: they hold before anything is sent
 	go p.exclusions.Watch(p.lifetime, p.limits.Exclusion.RefreshInterval)
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -64,7 +64,8 @@
 	peers         *peers.Peers
 	maintenance   *agent.Agent
 
-	peakResident uint64 // largest resident memory that was read, in bytes; belongs to the event loop
+	peakResident      uint64        // largest resident memory that was read, in bytes; belongs to the event loop
+	nextMemoryWarning time.Duration // when the memory may be logged again; belongs to the event loop
 
 	// quota divides the descriptors between the processes of an upgrade. It belongs to the event loop until
 	// settleQuota runs, then to that goroutine; nil where this process is alone or could not join the others.
