Reject waiting requests of those first that ask most

Cause: of the requests that wait beyond MaxPending the oldest were rejected, whoever had sent them. A client that sends ahead has eight requests among them and sends the next at each rejection; one with a single request is rejected as likely as each of those.

Change: those are rejected first whose connection had most requests open when they came (Request.OpenBefore), then those of connections that have asked most lately (Request.RecentWork, effort with a half-life of a second), then the oldest, as before.

Measured: TestClientsThatAskMostAreRejectedFirst fails without the change (planted: the comparison returns 0).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -172,7 +172,7 @@
 	if c.listChanged {
 		c.forgetGone()
 	}
-	c.shedOldest()
+	c.shedPending()
 }
 
 // perform performs one action of the router. It ignores actions for a request that is over and has no attempt in
--- a/internal/core/pending_test.go
+++ b/internal/core/pending_test.go
@@ -54,3 +54,34 @@
 	harness.core.Flush()
 	require.Equal(t, 200, client.rejected)
 }
+
+// Guards against clients with one request each that are rejected for others which send ahead, or ask again and again:
+// those give way first, in this order.
+func TestClientsThatAskMostAreRejectedFirst(t *testing.T) {
+	harness := newHarness()
+	harness.core.ReplaceMembers([]core.Member{newMember(2, routing.Ready), newMember(3, routing.Ready)})
+	harness.pass(time.Second)
+	demands := []core.Request{{}, {RecentWork: 30}, {OpenBefore: 7}, {RecentWork: 4000}}
+	each := harness.maxPending/2 + 1
+	var clients [][]*client
+	for kind, demand := range demands {
+		clients = append(clients, nil)
+		for i := range each {
+			answered := &client{}
+			request := harness.request(fmt.Sprint("kind ", kind, " request ", i), answered)
+			request.Class, request.OpenBefore, request.RecentWork = classKeyed, demand.OpenBefore, demand.RecentWork
+			harness.core.Submit(request)
+			clients[kind] = append(clients[kind], answered)
+		}
+	}
+	harness.core.Flush()
+	var rejected []int
+	for _, ofKind := range clients {
+		answers := 0
+		for _, answered := range ofKind {
+			answers += len(answered.answers)
+		}
+		rejected = append(rejected, answers)
+	}
+	require.Equal(t, []int{0, 2*each - harness.maxPending, each, each}, rejected)
+}
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -57,6 +58,8 @@
 	CostObserver CostObserver  // receives the durations of its attempts; may be nil
 	Tenant       int           // number of its tenant, for admission control
 	Caller       uint64        // number of its client within the tenant
+	OpenBefore   int           // how many requests its client's connection had open already
+	RecentWork   float64       // what its client's connection has lately asked for, in commands
 
 	id               routing.RequestID
 	deadline         time.Duration     // on the core's clock
@@ -214,16 +217,15 @@
 	}
 }
 
-// shedOldest rejects the pending requests beyond MaxPending, the oldest first. None of them was sent to a database. A
-// client may submit its next request when it is rejected. Such requests wait for the next Flush: the router has not
-// seen them yet, and shedOldest would not return while clients have more of them.
-func (c *Core) shedOldest() {
-	for excess := c.pending.Len() - c.limits.MaxPending; excess > 0; excess-- {
-		id, over := c.pending.RemoveOldestOver(c.limits.MaxPending)
-		if !over {
-			return
-		}
+// shedPending rejects the pending requests beyond MaxPending, those first whose clients ask most. None of them was sent
+// to a database. A client may submit its next request when it is rejected. Such requests wait for the next Flush: the
+// router has not seen them yet, and shedPending would not return while clients have more of them.
+func (c *Core) shedPending() {
+	for _, id := range c.pending.RemoveOver(c.limits.MaxPending, c.compareDemand) {
 		request := c.requests[id]
+		if request == nil || request.done { // its client left when another request was rejected
+			continue
+		}
 		c.counters.Relieved++
 		c.pushEvent(routing.Event{Kind: routing.ClientGone, Request: id})
 		c.reportNoCapacity(request)
@@ -231,6 +233,13 @@
 	}
 }
 
+// compareDemand compares two pending requests by how much their clients ask: first by how many requests each client had
+// open already, then by the work that it has lately had done.
+func (c *Core) compareDemand(a, b routing.RequestID) int {
+	one, other := c.requests[a], c.requests[b]
+	return cmp.Or(cmp.Compare(one.OpenBefore, other.OpenBefore), cmp.Compare(one.RecentWork, other.RecentWork))
+}
+
 // serve ends a request with the answer of a database.
 func (c *Core) serve(request *Request, answer []byte) {
 	c.finish(request)
--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -28,6 +28,7 @@
 	isAhead      bool // the client has sent too far ahead of its responses; see updateAhead
 	isHeldBack   bool // commands may have arrived that wait for room in the pipeline or for a turn
 	turn         turn // commands of this connection
+	recentWork   recentWork
 
 	paused   *eventloop.Paused // nil if flow is flowReading
 	probedAt time.Duration     // when probeDeparture last wrote
--- a/internal/frontend/statement.go
+++ b/internal/frontend/statement.go
@@ -62,6 +62,8 @@
 		return
 	}
 	request.TimeLeft -= connection.arrivals.sinceLastByte(connection.session.Buffered(), frontend.core.Now())
+	request.OpenBefore = len(connection.responses) - 1 // the last one is of this request
+	request.RecentWork = connection.recentWork.amount
 	request.Client = response
 	response.awaitAnswer(request)
 	response.statementBytes = len(sql)
--- a/internal/frontend/turn.go
+++ b/internal/frontend/turn.go
@@ -1,6 +1,11 @@
 package frontend
 
-import "capercove/internal/pg"
+import (
+	"math"
+	"time"
+
+	"capercove/internal/pg"
+)
 
 // turn counts what was handled within one tick of the timers, as effort. Commands that need no database are answered at
 // once, so that nothing else bounds how many of them the event loop handles before it serves another client.
@@ -44,4 +49,21 @@
 	effort := 1 + len(command.Query)/bytesPerEffort
 	connection.turn.effort += effort
 	connection.frontend.turn.effort += effort
+	connection.recentWork.add(connection.frontend.core.Now(), float64(effort))
+}
+
+// recentWorkHalfLife is the time in which recent work counts for half.
+const recentWorkHalfLife = time.Second
+
+// recentWork is the effort of a connection's commands. It decays exponentially.
+type recentWork struct {
+	amount float64
+	at     time.Duration // when amount was determined
+}
+
+// add adds effort.
+func (work *recentWork) add(now time.Duration, effort float64) {
+	halfLives := (now - work.at).Seconds() / recentWorkHalfLife.Seconds()
+	work.amount = work.amount*math.Exp2(-halfLives) + effort
+	work.at = now
 }
--- a/internal/pending/pending.go
+++ b/internal/pending/pending.go
@@ -46,17 +46,21 @@
 // Len returns the number of waiting elements.
 func (q *Queue[T]) Len() int { return len(q.waiting) }
 
-// RemoveOldestOver removes and returns the element that has waited longest, if more than limit elements wait. The
-// oldest is the nearest to its deadline; newer ones are more likely to be answered in time.
-func (q *Queue[T]) RemoveOldestOver(limit int) (oldest T, over bool) {
-	if len(q.waiting) <= limit {
-		return oldest, false
+// RemoveOver removes and returns elements until no more than limit wait. Those with the greatest cost come first, and
+// among equal ones that which has waited longest: it is the nearest to its deadline, and newer ones are more likely to
+// be answered in time.
+func (q *Queue[T]) RemoveOver(limit int, compareCost func(a, b T) int) []T {
+	excess := len(q.waiting) - limit
+	if excess <= 0 {
+		return nil
 	}
-	for {
-		oldest, q.order = q.order[0], q.order[1:]
-		if q.waits(oldest) {
-			q.Leave(oldest)
-			return oldest, true
-		}
+	q.order = slices.DeleteFunc(q.order, func(stored T) bool { return !q.waits(stored) })
+	ranked := slices.Clone(q.order)
+	slices.SortStableFunc(ranked, func(a, b T) int { return compareCost(b, a) })
+	removed := ranked[:excess]
+	for _, element := range removed {
+		delete(q.waiting, element)
 	}
+	q.order = slices.DeleteFunc(q.order, func(stored T) bool { return !q.waits(stored) })
+	return removed
 }
--- a/internal/pending/pending_test.go
+++ b/internal/pending/pending_test.go
@@ -8,7 +8,10 @@
 	"capercove/internal/pending"
 )
 
-// RemoveOldestOver returns the oldest elements beyond the limit, without those that have left.
+// sameCost compares elements none of which costs more than another.
+func sameCost(int, int) int { return 0 }
+
+// RemoveOver returns the oldest elements beyond the limit, without those that have left.
 func TestOverReturnsTheOldestWaitingElements(t *testing.T) {
 	var queue pending.Queue[int]
 	for i := range 10 {
@@ -17,21 +20,27 @@
 	queue.Leave(0)
 	queue.Leave(2)
 	queue.Leave(99)
-	var over []int
-	for oldest, more := queue.RemoveOldestOver(5); more; oldest, more = queue.RemoveOldestOver(5) {
-		over = append(over, oldest)
-	}
-	require.Equal(t, []int{1, 3, 4}, over)
+	require.Equal(t, []int{1, 3, 4}, queue.RemoveOver(5, sameCost))
+	require.Empty(t, queue.RemoveOver(5, sameCost))
 	require.Equal(t, 5, queue.Len())
 	for i := range 10 {
 		queue.Leave(i)
 	}
-	_, more := queue.RemoveOldestOver(0)
-	require.False(t, more)
+	require.Empty(t, queue.RemoveOver(0, sameCost))
 	queue.Enter(11)
-	oldest, more := queue.RemoveOldestOver(0)
-	require.True(t, more)
-	require.Equal(t, 11, oldest)
+	require.Equal(t, []int{11}, queue.RemoveOver(0, sameCost))
+}
+
+// RemoveOver returns those that cost most, and of equal ones the oldest first.
+func TestOverReturnsTheMostCostlyElements(t *testing.T) {
+	var queue pending.Queue[int]
+	for _, element := range []int{31, 10, 30, 20, 32, 11} {
+		queue.Enter(element)
+	}
+	byTens := func(a, b int) int { return a/10 - b/10 }
+	require.Equal(t, []int{31, 30}, queue.RemoveOver(4, byTens))
+	require.Equal(t, []int{32, 20, 10}, queue.RemoveOver(1, byTens))
+	require.Equal(t, 1, queue.Len())
 }
 
 // Elements that have left do not accumulate, even behind one that stays.
