Count turns of clients by rounds of the event loop

Callers saw: beside hundreds of clients that send ahead, others waited for seconds, also to be accepted (four are accepted in a round), and got 53300, as databases seemed gone: dials that take a few rounds ran out of their 250 ms.

Cause: turn counted what was handled within a tick of 5 ms. A round of the event loop in which 400 connections have something to read lasts longer, so that each of them got a turn of 64 commands again with each tick, and the bound on all of them (512 in a tick) was hardly ever reached.

Change: a connection has one turn in a round, and of one command once the round has lasted for more than 5 ms. The round ends with a task that is queued behind what has arrived.

Measured: TestClientHasOneTurnInRound fails without the change (planted: a round ends after a tick).

--- a/internal/frontend/admission.go
+++ b/internal/frontend/admission.go
@@ -23,6 +23,7 @@
 	connection := &clientConnection{
 		frontend: frontend,
 		socket:   socket,
+		loop:     socket.EventLoop(),
 		session:  pg.NewSession(frontend.limits.MaxMessageBytes),
 	}
 	// The event loop sets the context only after Accept returns. A write within Accept may fail, and gnet calls
--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -15,6 +15,7 @@
 	frontend *Frontend
 	number   uint64    // from 1, in the order of admission; 0 if it was rejected
 	socket   gnet.Conn // not to be used unless flow is flowReading; see descriptor
+	loop     gnet.EventLoop
 	session  *pg.Session
 
 	// The state of the connection, in fields that are independent of each other.
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -34,7 +34,7 @@
 	buffers        Buffers // of all connections
 	peakBuffers    int     // largest sum of buffers so far, in bytes
 	relieving      bool    // relieveMemory is running and must not be entered recursively
-	turn           turn    // commands of all connections
+	round          round   // of the event loop
 	send           sendFunc
 	draining       bool // set by Drain and Stop, and never reset
 }
--- a/internal/frontend/turn.go
+++ b/internal/frontend/turn.go
@@ -1,54 +1,81 @@
 package frontend
 
 import (
+	"context"
 	"math"
 	"time"
 
+	"github.com/panjf2000/gnet/v2"
+
 	"capercove/internal/pg"
 )
 
-// turn counts what was handled within one tick of the timers, as effort. Commands that need no database are answered at
-// once, so that nothing else bounds how many of them the event loop handles before it serves another client.
+// turn counts what was handled within one round of the event loop, as effort. Commands that need no database are
+// answered at once, so that nothing else bounds how many of them are handled before another client is served.
 type turn struct {
-	tick   int64
+	round  int64
 	effort int
 }
 
 const (
-	// effortPerTurn is the effort of one connection within a tick.
+	// effortPerTurn is the effort of one connection within a round.
 	effortPerTurn = 64
-	// effortOfAll is the effort of all connections within a tick, beyond which each has only what a pipeline takes.
-	effortOfAll = 512
+	// effortPerLongRound is the same once the round has lasted longer than a tick of the timers.
+	effortPerLongRound = 1
 	// bytesPerEffort is the length of a statement that counts as much as a command without one.
 	bytesPerEffort = 4 << 10
 )
 
-// spent returns the effort of the present tick.
-func (counted *turn) spent(tick int64) int {
-	if counted.tick != tick {
-		*counted = turn{tick: tick}
+// spent returns the effort of the present round.
+func (counted *turn) spent(round int64) int {
+	if counted.round != round {
+		*counted = turn{round: round}
 	}
 	return counted.effort
 }
 
-// tick returns the number of the present tick of the timers.
-func (frontend *Frontend) tick() int64 { return int64(frontend.core.Now() / frontend.limits.TimerTick) }
+// round is the present round of the event loop: it handles what has arrived on each connection, and then what was
+// queued meanwhile.
+type round struct {
+	number  int64
+	begunAt time.Duration
+	isOpen  bool // its end is queued
+}
+
+// currentRound returns the number of the present round, and begins one if there is none. The round ends when the loop
+// handles what is queued now: behind all connections from which bytes have arrived.
+func (connection *clientConnection) currentRound() int64 {
+	frontend := connection.frontend
+	current := &frontend.round
+	if current.isOpen {
+		return current.number
+	}
+	current.number++
+	current.begunAt = frontend.core.Now()
+	// It fails only when the event loop ends.
+	err := connection.loop.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+		current.isOpen = false
+		return nil
+	}))
+	current.isOpen = err == nil
+	return current.number
+}
 
-// hasTurn reports whether a further command of the connection may be handled within this tick.
+// hasTurn reports whether a further command of the connection may be handled within this round.
 func (connection *clientConnection) hasTurn() bool {
 	frontend := connection.frontend
-	tick, limit := frontend.tick(), effortPerTurn
-	if frontend.turn.spent(tick) >= effortOfAll {
-		limit = frontend.limits.MaxPipelined
+	spent := connection.turn.spent(connection.currentRound())
+	if spent < effortPerLongRound {
+		return true
 	}
-	return connection.turn.spent(tick) < limit
+	isLong := frontend.core.Now()-frontend.round.begunAt > frontend.limits.TimerTick
+	return !isLong && spent < effortPerTurn
 }
 
 // takeTurn counts a command.
 func (connection *clientConnection) takeTurn(command *pg.Command) {
 	effort := 1 + len(command.Query)/bytesPerEffort
 	connection.turn.effort += effort
-	connection.frontend.turn.effort += effort
 	connection.recentWork.add(connection.frontend.core.Now(), float64(effort))
 }
 
--- /dev/null
+++ b/internal/frontend/turn_test.go
@@ -0,0 +1,42 @@
+package frontend_test
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Commands of a connection that are handled within one round of the event loop.
+const (
+	commandsPerRound     = 64
+	commandsPerLongRound = 1
+)
+
+// syncReplyBytes is the length of the reply to syncCommand.
+const syncReplyBytes = 6
+
+var syncCommand = []byte{'S', 0, 0, 0, 4}
+
+// handled returns how many Sync commands of a client have been answered.
+func (socket *fakeSocket) handled() int { return len(socket.written) / syncReplyBytes }
+
+// Guards against an event loop that serves some clients for so long that others wait for seconds: a client gets one
+// turn in a round, however long the round lasts, and short turns once it has lasted long.
+func TestClientHasOneTurnInRound(t *testing.T) {
+	harness := newHarness(t, nil)
+	first, second := harness.start(), harness.start()
+	harness.pass(5 * time.Millisecond)
+	flood := bytes.Repeat(syncCommand, 2*commandsPerRound)
+	first.receive(flood)
+	require.Equal(t, commandsPerRound, first.handled())
+	harness.now += 50 * time.Millisecond // the round goes on
+	first.receive(flood)
+	require.Equal(t, commandsPerRound, first.handled(), "its turn is over")
+	second.receive(flood)
+	require.Equal(t, commandsPerLongRound, second.handled(), "the round is long")
+	harness.pass(time.Second)
+	require.Equal(t, 4*commandsPerRound, first.handled(), "all are handled in later rounds")
+	require.Equal(t, 2*commandsPerRound, second.handled())
+}
--- a/internal/frontend/world_test.go
+++ b/internal/frontend/world_test.go
@@ -1,6 +1,7 @@
 package frontend_test
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"testing"
@@ -33,6 +34,7 @@
 	observed []uint64        // numbers of the connections that were reported closed to the observer
 	ids      int             // number of statements so far, and ID of the last one
 	sockets  map[int]*fakeSocket
+	queued   []gnet.Runnable // what the event loop does at the end of the round
 }
 
 func newHarness(t *testing.T, change func(bounds *limits.Frontend)) *harness {
@@ -110,13 +112,26 @@
 		harness.now += 5 * time.Millisecond
 		harness.core.Tick()
 		harness.core.Flush()
+		harness.endRound()
+	}
+}
+
+// endRound does what was queued on the event loop.
+func (harness *harness) endRound() {
+	queued := harness.queued
+	harness.queued = nil
+	for _, task := range queued {
+		require.NoError(harness.t, task.Run(harness.t.Context()))
 	}
 }
 
 // statement returns a read with a new ID, as a client sends it.
-func (harness *harness) statement() []byte {
+func (harness *harness) statement() []byte { return testbed.Query(harness.statementText()) }
+
+// statementText returns a read with a new ID.
+func (harness *harness) statementText() string {
 	harness.ids++
-	return testbed.Query(fmt.Sprintf("SELECT 1 /* id=%x,c=read,d=4000,cluster=3 */", harness.ids))
+	return fmt.Sprintf("SELECT 1 /* id=%x,c=read,d=4000,cluster=3 */", harness.ids)
 }
 
 // nextAttempt removes and returns the earliest attempt that is not answered yet. The test has to answer it.
@@ -142,7 +157,7 @@
 	harness.t.Helper()
 	pair, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
 	require.NoError(harness.t, err)
-	socket := &fakeSocket{descriptor: pair[0], peer: pair[1]}
+	socket := &fakeSocket{harness: harness, descriptor: pair[0], peer: pair[1]}
 	harness.t.Cleanup(func() {
 		require.NoError(harness.t, unix.Close(pair[0]))
 		require.NoError(harness.t, unix.Close(pair[1]))
@@ -168,6 +183,7 @@
 type fakeSocket struct {
 	gnet.Conn
 
+	harness          *harness
 	owner            eventloop.Socket
 	descriptor, peer int
 	written          []byte
@@ -222,6 +238,12 @@
 	socket *fakeSocket
 }
 
+// Execute implements gnet.EventLoop.
+func (loop fakeLoop) Execute(_ context.Context, task gnet.Runnable) error {
+	loop.socket.harness.queued = append(loop.socket.harness.queued, task)
+	return nil
+}
+
 // Close implements gnet.EventLoop.
 func (loop fakeLoop) Close(gnet.Conn) error {
 	loop.socket.close(nil)
