Tell operators for how long a newer configuration has been rejected

What operators saw: a configuration that was rejected left the process with the discovery of the older one, which may be gone. The log named the key once; nothing told later that the running configuration is not the newest, or that this may be why discovery cannot be reached.

Change: app.config_rejected_age_ms of /api/telemetry, which is the status page of this program, tells for how long a newer configuration has been rejected (0 once one is applied), and each failure of discovery meanwhile is logged, once a second at most.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -41,6 +41,7 @@
 	settings         *Settings
 	statementRouting bool // the router also has each class as a write and as a read
 	routerCount      int  // poolers that share the databases, by membership; 0: Settings.Routers applies
+	rejectedReload   rejectedReload
 
 	// Requests, in request.go.
 	requests    map[routing.RequestID]*Request
--- a/internal/core/figures.go
+++ b/internal/core/figures.go
@@ -16,6 +16,7 @@
 	OpenRequests          int                // requests without a final answer
 	Members, Unavailable  int                // listed databases; those that the router does not use
 	Reloads, ReloadErrors int64              // configurations applied; rejected
+	RejectedReloadAge     time.Duration      // since a newer configuration was first rejected; 0: the newest is running
 	Admission             *AdmissionFigures  // nil: admission control is off
 	Databases             []DatabaseStatus   // nil unless Observe was called
 	RequestsByGroup       map[int]int64      // requests by group; nil unless Observe was called
@@ -87,17 +88,18 @@
 // collectFigures returns the current figures, without Ready.
 func (c *Core) collectFigures() Figures {
 	return Figures{
-		Classes:         c.answersByClass(),
-		Written:         c.counters.Written,
-		OpenRequests:    c.OpenRequests(),
-		Members:         len(c.MemberNames()),
-		Unavailable:     c.router.UnavailableNodes(),
-		Reloads:         c.counters.Reloads,
-		ReloadErrors:    c.counters.ReloadErrors,
-		Admission:       c.AdmissionFigures(),
-		Databases:       c.databaseStatuses(),
-		RequestsByGroup: maps.Clone(c.requestsByGroup),
-		Blind:           c.counters.Blind,
+		Classes:           c.answersByClass(),
+		Written:           c.counters.Written,
+		OpenRequests:      c.OpenRequests(),
+		Members:           len(c.MemberNames()),
+		Unavailable:       c.router.UnavailableNodes(),
+		Reloads:           c.counters.Reloads,
+		ReloadErrors:      c.counters.ReloadErrors,
+		RejectedReloadAge: c.rejectedReloadAge(),
+		Admission:         c.AdmissionFigures(),
+		Databases:         c.databaseStatuses(),
+		RequestsByGroup:   maps.Clone(c.requestsByGroup),
+		Blind:             c.counters.Blind,
 	}
 }
 
--- a/internal/core/harness_test.go
+++ b/internal/core/harness_test.go
@@ -31,6 +31,7 @@
 	sent      []*core.Attempt // in order
 	cancelled []*core.Attempt
 	forgotten []*core.Member
+	settings  core.Settings
 	// maxPending is how many requests may wait that were not sent.
 	maxPending int
 }
@@ -96,6 +97,7 @@
 	}).Request
 	harness.maxPending = bounds.MaxPending
 	named := core.Settings{Settings: settings, Names: []string{"read", "keyed"}}
+	harness.settings = named
 	harness.core = core.New(named, 1, bounds, zerolog.Nop(),
 		func() time.Duration { return harness.now }, func() {}, ready)
 	harness.core.Attach(harness, harness, harness)
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -166,5 +166,6 @@
 // ListFailed reports that a poll for the list failed or that its watch broke.
 func (c *Core) ListFailed() {
 	c.counters.ListsFailed++
+	c.warnOfRejectedReload()
 	c.pushEvent(routing.Event{Kind: routing.ListFailed})
 }
--- a/internal/core/settings.go
+++ b/internal/core/settings.go
@@ -24,13 +24,11 @@
 // Reconfigure replaces the settings. Requests that were submitted before stay in their class.
 func (c *Core) Reconfigure(settings Settings) {
 	c.counters.Reloads++
+	c.rejectedReload.since = 0
 	c.settings = &settings
 	c.pushSettings()
 }
 
-// ReloadRejected counts a configuration that was rejected and therefore not passed to Reconfigure.
-func (c *Core) ReloadRejected() { c.counters.ReloadErrors++ }
-
 // SetRouters sets the number of poolers that share the databases, in place of Settings.Routers. 0 restores
 // Settings.Routers.
 func (c *Core) SetRouters(routers int) {
--- a/internal/management/figures.go
+++ b/internal/management/figures.go
@@ -35,6 +35,7 @@
 	lines.add("app.members_unavailable=%d\n", values.Unavailable)
 	lines.add("app.config_reloads=%d\n", values.Reloads)
 	lines.add("app.config_reload_errors=%d\n", values.ReloadErrors)
+	lines.add("app.config_rejected_age_ms=%d\n", values.RejectedReloadAge.Milliseconds())
 	lines.add("app.bans_unsaved=%d\n", exclusionsUnsaved)
 	if values.Admission != nil {
 		lines.admission(values.Admission)
--- a/internal/pooler/reload_test.go
+++ b/internal/pooler/reload_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net/http"
+	"regexp"
 	"strings"
 	"syscall"
 	"testing"
@@ -145,3 +147,20 @@
 	bed.ReleaseDatabases()
 	require.NotEmpty(t, waiting.Next().Value)
 }
+
+// Guards against a process that follows a discovery which is gone, without a word: the configuration that names the new
+// one was rejected. The log and the telemetry say so until one is applied.
+func TestDiscoveryIsGoneWhileConfigurationIsRejected(t *testing.T) {
+	bed := testbed.Start(t)
+	age := func() string {
+		_, figures := bed.Call(http.MethodGet, "/api/telemetry")
+		return regexp.MustCompile(`app\.config_rejected_age_ms=(\d+)\n`).FindStringSubmatch(figures)[1]
+	}
+	require.Equal(t, "0", age())
+	reload(bed, strings.Replace(testbed.Settings, `"sendCap":10`, `"sendCap":-1`, 1))
+	bed.Eventually(func() bool { return age() != "0" }, "the age is shown")
+	bed.MoveDiscovery(1)
+	bed.AwaitLine("discovery: unreachable while a newer configuration is rejected", "the log tells the cause")
+	reload(bed, testbed.Settings)
+	bed.Eventually(func() bool { return age() == "0" }, "the newest configuration is running")
+}
