Judge the reports of a discovery watch in their order

Traced: the test kept lists and failures in a channel each. Where both are there before it looks, as behind a list and an older one that are sent at once, its select takes either.

Change: one channel in the order of the reports. A list that is due must be the next report, as must a failure, so the tests ask for more than before; where no failure was to be left, no report may be.

--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -100,12 +100,17 @@
 		revision, complete, strings.Join(entries, ",\n"))
 }
 
-// watch is a discovery.Watch that records the lists and failures it reports.
+// watch is a discovery.Watch that records the lists and failures it reports, in their order.
 type watch struct {
 	*discovery.Watch
-	t      *testing.T
-	lists  chan discovery.List
-	failed chan struct{}
+	t       *testing.T
+	reports chan report
+}
+
+// report is what a watch reports: a list, or a failure.
+type report struct {
+	list   discovery.List
+	failed bool
 }
 
 // newWatch returns a watch with a known list of one endpoint at a revision, or with no known list if the revision is 0.
@@ -125,37 +130,38 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	created := &watch{t: t, lists: make(chan discovery.List, 16), failed: make(chan struct{}, 16)}
-	onList := func(list discovery.List) { created.lists <- list }
-	onFailure := func() { created.failed <- struct{}{} }
+	created := &watch{t: t, reports: make(chan report, 16)}
+	onList := func(list discovery.List) { created.reports <- report{list: list} }
+	onFailure := func() { created.reports <- report{failed: true} }
 	created.Watch = discovery.New(ctx, from.addr, known, bounds, log, onList, onFailure)
 	return created
 }
 
-// requireList returns the next list that the watch reports. The test fails if a failure is reported first.
-func (w *watch) requireList() discovery.List {
+// next returns the next report.
+func (w *watch) next(what string) report {
 	w.t.Helper()
 	select {
-	case list := <-w.lists:
-		return list
-	case <-w.failed:
-		require.FailNow(w.t, "the watch reports a failure")
+	case reported := <-w.reports:
+		return reported
 	case <-time.After(eventTimeout):
-		require.FailNow(w.t, "no list")
+		require.FailNow(w.t, "the watch reports nothing", what)
+		return report{}
 	}
-	return discovery.List{}
+}
+
+// requireList returns the next list that the watch reports. The test fails if a failure is reported first.
+func (w *watch) requireList() discovery.List {
+	w.t.Helper()
+	reported := w.next("a list is due")
+	require.False(w.t, reported.failed, "the watch reports a failure")
+	return reported.list
 }
 
 // requireFailure waits until the watch reports a failure. The test fails if a list is reported first.
 func (w *watch) requireFailure() {
 	w.t.Helper()
-	select {
-	case list := <-w.lists:
-		require.FailNow(w.t, "the watch reports a list", "%v", list)
-	case <-w.failed:
-	case <-time.After(eventTimeout):
-		require.FailNow(w.t, "the request does not end")
-	}
+	reported := w.next("a failure is due")
+	require.True(w.t, reported.failed, "the watch reports a list: %v", reported.list)
 }
 
 // wideLimits returns limits that no test reaches unless it lowers them.
@@ -264,7 +270,7 @@
 	require.Len(t, watched.requireList().Members, 2)
 	received.reset()
 	require.Equal(t, "/catalog/members?watch=1&from=7", catalog.next().path)
-	require.Empty(t, watched.failed)
+	require.Empty(t, watched.reports)
 }
 
 // A list that is invalid, empty or older than the known list ends the request, and the known list stays in use. After
