Compare the recent work of clients by its magnitude

Cause, a fault of: the startup counted as work and decays, so that clients which had asked equally differed by how long they took from their startup to their request, and the age, which decides between equal ones, did not count.

Change: a startup is no work, and clients are compared by the number of binary digits of what they have asked.

--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -59,7 +59,7 @@
 	Tenant       int           // number of its tenant, for admission control
 	Caller       uint64        // number of its client within the tenant
 	OpenBefore   int           // how many requests its client's connection had open already
-	RecentWork   float64       // what its client's connection has lately asked for, in commands
+	RecentWork   int           // binary digits of the number of commands that its client's connection has lately sent
 
 	id               routing.RequestID
 	deadline         time.Duration     // on the core's clock
--- a/internal/frontend/statement.go
+++ b/internal/frontend/statement.go
@@ -63,7 +63,7 @@
 	}
 	request.TimeLeft -= connection.arrivals.sinceLastByte(connection.session.Buffered(), frontend.core.Now())
 	request.OpenBefore = len(connection.responses) - 1 // the last one is of this request
-	request.RecentWork = connection.recentWork.amount
+	request.RecentWork = connection.recentWork.magnitude()
 	request.Client = response
 	response.awaitAnswer(request)
 	response.statementBytes = len(sql)
--- a/internal/frontend/turn.go
+++ b/internal/frontend/turn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"math/bits"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -76,7 +77,9 @@
 func (connection *clientConnection) takeTurn(command *pg.Command) {
 	effort := 1 + len(command.Query)/bytesPerEffort
 	connection.turn.effort += effort
-	connection.recentWork.add(connection.frontend.core.Now(), float64(effort))
+	if connection.place == placeStarted { // a startup is no work for databases
+		connection.recentWork.add(connection.frontend.core.Now(), float64(effort))
+	}
 }
 
 // recentWorkHalfLife is the time in which recent work counts for half.
@@ -94,3 +97,6 @@
 	work.amount = work.amount*math.Exp2(-halfLives) + effort
 	work.at = now
 }
+
+// magnitude returns the number of binary digits of the amount. Clients that have asked about as much are equal by it.
+func (work *recentWork) magnitude() int { return bits.Len(uint(work.amount)) }
--- a/internal/frontend/turn_test.go
+++ b/internal/frontend/turn_test.go
@@ -45,6 +45,22 @@
 	require.Equal(t, 2*commandsPerRound, second.handled())
 }
 
+// Guards against an order of clients by chance: those that have sent one request each have asked equally, however long
+// they took for it. The one that has waited longest is rejected first then.
+func TestClientsWithOneRequestHaveAskedEqually(t *testing.T) {
+	harness := newHarness(t, nil)
+	for _, pause := range []time.Duration{0, time.Second} {
+		client := harness.start()
+		harness.pass(pause)
+		client.receive(harness.statement())
+		harness.core.Flush()
+	}
+	require.Len(t, harness.attempts, 2)
+	for _, attempt := range harness.attempts {
+		require.Equal(t, 1, attempt.Request.RecentWork)
+	}
+}
+
 // Guards against clients with short statements that are rejected for the memory that others hold.
 func TestClientWithinItsShareIsNotRejectedForMemory(t *testing.T) {
 	const (
